--- a/cmd/foxtailtack/main.go
+++ b/cmd/foxtailtack/main.go
@@ -9,5 +9,6 @@
 
 func main() {
 	entry := &entryCommand{stdout: os.Stdout, stderr: os.Stderr}
-	os.Exit(operator.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, entry))
+	gateway := &gatewayCommand{stdout: os.Stdout, stderr: os.Stderr}
+	os.Exit(operator.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, entry, gateway))
 }
--- a/internal/backend/classify.go
+++ b/internal/backend/classify.go
@@ -45,9 +45,10 @@
 
 // read reads the whole answer and classifies it.
 func (a *attempt) read(ctx context.Context, answer *http.Response) Result {
-	header, draining := answerHeader(answer.Header)
+	header, draining := a.protocol.answerHeader(answer.Header)
 	res := Result{Outcome: Unknown, Draining: draining}
-	if echoed := answer.Header.Get(HeaderRequestID); echoed != "" && echoed != a.req.ID {
+	echoed := answer.Header.Get(a.protocol.RequestIDHeader)
+	if echoed != a.req.ID && (echoed != "" || a.protocol.EchoRequired) {
 		res.Failure = result.Fail(result.ConnectionLost, "%s answered request %q instead of %q", a.server.ID, echoed, a.req.ID)
 		return res
 	}
@@ -59,6 +60,7 @@
 	if a.isShed(answer) {
 		res.Outcome = NotRun
 		res.Status = answer.StatusCode
+		res.Header = header
 		res.Failure = result.Fail(result.BackendShed, "%s refused the request without running it", a.server.ID)
 		return res
 	}
@@ -69,8 +71,11 @@
 	return res
 }
 
-// isShed reports whether the answer is the one by which the policy's backend servers promise "not run".
+// isShed reports whether the answer is the one by which the protocol or the policy promises "not run".
 func (a *attempt) isShed(answer *http.Response) bool {
+	if a.protocol.NotRun != nil {
+		return a.protocol.NotRun(answer.StatusCode, answer.Header)
+	}
 	shed := a.service.Shed
 	if shed.Header == "" || answer.StatusCode != shed.Status {
 		return false
@@ -79,9 +84,9 @@
 }
 
 // readBody reads at most MaxAnswerBytes. An answer whose end is only marked by the end of the connection cannot be told
-// from one that was cut off, so it counts as incomplete.
+// from one that was cut off, so it counts as incomplete unless the protocol allows it.
 func (a *attempt) readBody(ctx context.Context, answer *http.Response) ([]byte, *result.Failure) {
-	if hasNoLength(answer) {
+	if hasNoLength(answer) && !a.protocol.AllowUnframed {
 		return nil, result.Fail(result.IncompleteAnswer, "the answer of %s has neither a length nor chunks", a.server.ID)
 	}
 	limit := a.service.MaxAnswerBytes
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -15,13 +15,18 @@
 
 // Client makes attempts on backend servers. It is safe for concurrent use.
 type Client struct {
+	protocol Protocol
+
 	mu      sync.Mutex
 	servers map[string]*serverConns
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{servers: map[string]*serverConns{}}
+// NewClient returns a client without connections that speaks the product's own protocol.
+func NewClient() *Client { return NewClientFor(OwnProtocol()) }
+
+// NewClientFor returns a client without connections that speaks the given protocol.
+func NewClientFor(protocol Protocol) *Client {
+	return &Client{protocol: protocol, servers: map[string]*serverConns{}}
 }
 
 // Retain closes the idle connections of backend servers for which keep is false and forgets them.
@@ -51,14 +56,14 @@
 	if ok {
 		s.close()
 	}
-	s = newServerConns(server)
+	s = newServerConns(server, c.protocol)
 	c.servers[server.ID] = s
 	return s
 }
 
 // Do makes exactly one attempt. The attempt ends at ctx's deadline, and after the service's longest request time.
 func (c *Client) Do(ctx context.Context, service *policy.Service, server *policy.BackendServer, req *Request) Result {
-	a := &attempt{service: service, server: server, req: req, proof: &writeProof{beforeWrite: req.BeforeWrite}}
+	a := &attempt{protocol: &c.protocol, service: service, server: server, req: req, proof: &writeProof{beforeWrite: req.BeforeWrite}}
 	if service.MaxRequestMs > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, service.MaxRequest())
@@ -70,11 +75,12 @@
 	res.SentAt = started
 	res.Duration = time.Since(started)
 	res.Reused = a.wasReused()
+	res.Connect = a.connectTime()
 	res.BytesWritten = a.proof.bytes()
 	res.ServerFault = isServerFault(ctx, res)
 	if isSilentReuse(res) {
 		// What silenced one open connection often silenced all. New ones take about 1 ms.
-		conns.pooled.CloseIdleConnections()
+		conns.closeIdle()
 	}
 	return res
 }
@@ -86,13 +92,16 @@
 
 // attempt is the state of one Do.
 type attempt struct {
-	service *policy.Service
-	server  *policy.BackendServer
-	req     *Request
-	proof   *writeProof
+	protocol *Protocol
+	service  *policy.Service
+	server   *policy.BackendServer
+	req      *Request
+	proof    *writeProof
 
 	mu     sync.Mutex
 	reused bool
+	// connect is the time that opening the connection took, zero for an open one.
+	connect time.Duration
 }
 
 func (a *attempt) run(ctx context.Context, conns *serverConns) Result {
@@ -100,10 +109,7 @@
 	if err != nil {
 		return Result{Outcome: NotRun, Failure: result.Fail(result.BadRequest, "%v", err)}
 	}
-	transport := conns.fresh
-	if a.req.Repeatable && !a.req.Fresh {
-		transport = conns.pooled
-	}
+	transport := conns.transportFor(a.req)
 	// Redirects are not followed because RoundTrip, unlike http.Client, does not.
 	answer, err := transport.RoundTrip(out)
 	if err != nil {
@@ -124,6 +130,9 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining = time.Until(deadline)
 	}
+	if a.req.Budget > 0 {
+		remaining = min(remaining, a.req.Budget)
+	}
 	out := &http.Request{
 		Method:        a.req.Method,
 		URL:           target,
@@ -131,7 +140,7 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		Header:        outgoingHeader(a.req, remaining),
+		Header:        a.protocol.outgoingHeader(a.req, remaining),
 		Body:          newSingleUseBody(a.req.Body),
 		ContentLength: int64(len(a.req.Body)),
 	}
@@ -146,12 +155,27 @@
 	a.mu.Unlock()
 	if conn, ok := info.Conn.(*countedConn); ok {
 		conn.attach(a.proof)
+		if !info.Reused {
+			a.setConnectTime(conn.connect)
+		}
 	}
 	if a.req.Connected != nil {
 		a.req.Connected(info.Reused)
 	}
 }
 
+func (a *attempt) setConnectTime(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.connect = d
+}
+
+func (a *attempt) connectTime() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.connect
+}
+
 func (a *attempt) wasReused() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/backend/headers.go
+++ b/internal/backend/headers.go
@@ -28,7 +28,7 @@
 }
 
 // outgoingHeader returns the header of an attempt.
-func outgoingHeader(req *Request, remaining time.Duration) http.Header {
+func (p *Protocol) outgoingHeader(req *Request, remaining time.Duration) http.Header {
 	h := req.Header.Clone()
 	if h == nil {
 		h = http.Header{}
@@ -36,8 +36,11 @@
 	removeHopByHop(h)
 	h.Del("Content-Length")
 	h.Del("Host")
-	h.Set(HeaderRequestID, req.ID)
-	h.Set(HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	h.Set(p.RequestIDHeader, req.ID)
+	h.Set(p.TimeoutHeader, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	if p.ExpectServerHeader != "" {
+		h.Set(p.ExpectServerHeader, req.ServerID)
+	}
 	if req.TraceParent != "" {
 		h.Set(HeaderTraceParent, req.TraceParent)
 	}
@@ -49,11 +52,14 @@
 }
 
 // answerHeader returns the header that goes on to the caller, and whether the backend server says that it is leaving.
-func answerHeader(h http.Header) (clean http.Header, draining bool) {
-	value := h.Get(HeaderDraining)
+func (p *Protocol) answerHeader(h http.Header) (clean http.Header, draining bool) {
 	clean = h.Clone()
 	removeHopByHop(clean)
-	clean.Del(HeaderDraining)
-	clean.Del(HeaderRequestID)
+	if p.DrainingHeader == "" {
+		return clean, false
+	}
+	value := h.Get(p.DrainingHeader)
+	clean.Del(p.DrainingHeader)
+	clean.Del(p.RequestIDHeader)
 	return clean, value != "" && !strings.EqualFold(value, "false")
 }
--- a/internal/backend/headers_test.go
+++ b/internal/backend/headers_test.go
@@ -15,7 +15,7 @@
 	in.Set("Expect", "100-continue")
 	in.Set("Accept-Encoding", "br")
 	in.Set(HeaderTimeout, "999999")
-	out := outgoingHeader(&Request{ID: "r", Header: in}, 1500*time.Microsecond)
+	out := ownProtocol.outgoingHeader(&Request{ID: "r", Header: in}, 1500*time.Microsecond)
 	for _, name := range []string{"Connection", "X-Own", "Te", "Expect"} {
 		if out.Get(name) != "" {
 			t.Errorf("%s was sent on", name)
@@ -31,7 +31,7 @@
 	answer.Set("Keep-Alive", "timeout=5")
 	answer.Set(HeaderDraining, "true")
 	answer.Set("X-Kept", "1")
-	clean, draining := answerHeader(answer)
+	clean, draining := ownProtocol.answerHeader(answer)
 	if !draining || clean.Get("Keep-Alive") != "" || clean.Get(HeaderDraining) != "" || clean.Get("X-Kept") != "1" {
 		t.Errorf("draining %v, header %v", draining, clean)
 	}
--- a/internal/backend/outcome.go
+++ b/internal/backend/outcome.go
@@ -52,7 +52,9 @@
 // Request is what one attempt sends.
 type Request struct {
 	// ID is the request id. Required.
-	ID     string
+	ID string
+	// ServerID is the id of the backend server that has to run the request, for protocols that check it.
+	ServerID string
 	Method string
 	// Path is the path with the query; it starts with a slash.
 	Path   string
@@ -62,6 +64,8 @@
 	Repeatable bool
 	// Fresh asks for a new connection for repeatable work too, as for a hedge of a stalled attempt.
 	Fresh bool
+	// Budget is the time that the backend server is told, at most the time until ctx's deadline. Zero means all of that.
+	Budget time.Duration
 	// TraceParent is the W3C trace context, or empty.
 	TraceParent string
 	// BeforeWrite runs after the connection is open and before the first byte is written. An error stops the attempt as
@@ -76,8 +80,8 @@
 	Outcome Outcome
 	// Failure is nil exactly if Outcome is Answered.
 	Failure *result.Failure
-	// Status, Header and Body are the whole answer. The header has no hop-by-hop fields. After a shed answer only Status is
-	// set.
+	// Status, Header and Body are the whole answer. The header has no hop-by-hop fields. After a shed answer only Status and
+	// Header are set.
 	Status int
 	Header http.Header
 	Body   []byte
@@ -94,4 +98,6 @@
 	SentAt time.Time
 	// Duration is the time that the attempt took.
 	Duration time.Duration
+	// Connect is the time that the opening of the attempt's connection took, zero if it used an open one.
+	Connect time.Duration
 }
--- a/internal/backend/poller.go
+++ b/internal/backend/poller.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return polled{}, Error.Wrap(err)
 	}
-	_, draining := answerHeader(res.Header)
+	_, draining := ownProtocol.answerHeader(res.Header)
 	return polled{status: res.StatusCode, draining: draining || bodySaysDraining(body), body: body}, nil
 }
 
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -54,12 +54,14 @@
 type serverConns struct {
 	address netip.AddrPort
 	limit   *connLimit
-	// pooled keeps connections for repeatable work; fresh opens one for each attempt.
+	// pooled keeps connections for repeatable work; fresh opens one for each attempt. recent keeps connections for other
+	// work only as long as the protocol allows, and is nil if it does not.
 	pooled *http.Transport
 	fresh  *http.Transport
+	recent *http.Transport
 }
 
-func newServerConns(server *policy.BackendServer) *serverConns {
+func newServerConns(server *policy.BackendServer, protocol Protocol) *serverConns {
 	s := &serverConns{
 		address: server.Address,
 		limit:   &connLimit{max: max(1, server.MaxConnections)},
@@ -67,9 +69,35 @@
 	s.pooled = s.transport(server)
 	s.fresh = s.transport(server)
 	s.fresh.DisableKeepAlives = true
+	if protocol.RecentIdle > 0 {
+		s.recent = s.transport(server)
+		s.recent.IdleConnTimeout = protocol.RecentIdle
+	}
 	return s
 }
 
+// transportFor chooses the connections of an attempt.
+func (s *serverConns) transportFor(req *Request) *http.Transport {
+	switch {
+	case req.Fresh:
+		return s.fresh
+	case req.Repeatable:
+		return s.pooled
+	case s.recent != nil:
+		return s.recent
+	default:
+		return s.fresh
+	}
+}
+
+// closeIdle closes the connections that no attempt uses.
+func (s *serverConns) closeIdle() {
+	s.pooled.CloseIdleConnections()
+	if s.recent != nil {
+		s.recent.CloseIdleConnections()
+	}
+}
+
 func (s *serverConns) transport(server *policy.BackendServer) *http.Transport {
 	return &http.Transport{
 		Proxy:                  nil,
@@ -85,21 +113,22 @@
 // dial opens a connection within the limit. Idle pooled connections make room first.
 func (s *serverConns) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if !s.limit.acquire() {
-		s.pooled.CloseIdleConnections()
+		s.closeIdle()
 		if !s.limit.acquire() {
 			return nil, errConnLimit
 		}
 	}
 	dialer := net.Dialer{Timeout: connectTimeout}
+	started := time.Now()
 	raw, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		s.limit.release()
 		return nil, err
 	}
-	return &countedConn{Conn: raw, limit: s.limit}, nil
+	return &countedConn{Conn: raw, limit: s.limit, connect: time.Since(started)}, nil
 }
 
 func (s *serverConns) close() {
-	s.pooled.CloseIdleConnections()
+	s.closeIdle()
 	s.fresh.CloseIdleConnections()
 }
--- a/internal/backend/writeproof.go
+++ b/internal/backend/writeproof.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -85,6 +86,8 @@
 	net.Conn
 	limit *connLimit
 	once  sync.Once
+	// connect is the time that opening the connection took.
+	connect time.Duration
 
 	mu    sync.Mutex
 	proof *writeProof
--- /dev/null
+++ b/internal/catalog/follow.go
@@ -0,0 +1,175 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// watchWait is the longest wait that the store allows for a watch; longer waits cost fewer calls.
+	watchWait = 30 * time.Second
+	// batchPause is the pause after a watch that returned changes. Changes often come in series and each call is paid for; the
+	// pause is a small part of the bounds of two seconds and more within which changes have to be in force.
+	batchPause = 150 * time.Millisecond
+	// firstBackoff and lastBackoff bound the time between two calls while the store does not answer. After its return a host has
+	// some seconds until the bounds hold again.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 1500 * time.Millisecond
+	// expireInterval is the time between two looks at lapsed entries.
+	expireInterval = 200 * time.Millisecond
+)
+
+// Follower keeps a state up to date from a store and publishes views of it. It is safe for concurrent use.
+type Follower struct {
+	store Store
+	log   zerolog.Logger
+	now   func() time.Time
+	view  atomic.Pointer[View]
+
+	mu    sync.Mutex
+	state *State
+	// subscribers are called after each change, with the lock held.
+	subscribers []func(*View)
+	// lostAt is the time at which the store stopped answering, zero while it answers.
+	lostAt time.Time
+	// confirmedAt is the time of the latest answer.
+	confirmedAt time.Time
+}
+
+// NewFollower returns a follower with an empty view.
+func NewFollower(store Store, log zerolog.Logger) *Follower {
+	f := &Follower{store: store, log: log, now: time.Now, state: NewState()}
+	f.view.Store(f.state.View())
+	return f
+}
+
+// View returns the latest view.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Subscribe registers a function that is called with each new view.
+func (f *Follower) Subscribe(fn func(*View)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.subscribers = append(f.subscribers, fn)
+}
+
+// ConfirmedAt returns the time of the store's latest answer and whether the store answers now.
+func (f *Follower) ConfirmedAt() (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmedAt, f.lostAt.IsZero()
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.expireLoop(ctx)
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		list, at, err := f.store.List(ctx)
+		if err != nil {
+			f.failed(ctx, "list", err)
+			backoff = pauseBackoff(ctx, backoff)
+			continue
+		}
+		backoff = firstBackoff
+		f.answered()
+		f.change(func(now time.Time) []Effect { return f.state.Resync(list, at, now) })
+		f.watch(ctx, at)
+	}
+}
+
+// watch follows the changes after a revision until the store has lost that part of its history.
+func (f *Follower) watch(ctx context.Context, at Revision) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		changes, next, err := f.store.Watch(ctx, at, watchWait)
+		if errors.Is(err, ErrCompacted) {
+			f.log.Info().Uint64("revision", uint64(at)).Msg("store_history_compacted")
+			return
+		}
+		if err != nil {
+			f.failed(ctx, "watch", err)
+			backoff = pauseBackoff(ctx, backoff)
+			continue
+		}
+		backoff = firstBackoff
+		f.answered()
+		at = max(at, next)
+		if len(changes) > 0 {
+			f.change(func(now time.Time) []Effect { return f.state.Apply(changes, at, now) })
+			pause(ctx, batchPause)
+		}
+	}
+}
+
+// answered notes an answer of the store.
+func (f *Follower) answered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.confirmedAt = now
+	if !f.lostAt.IsZero() {
+		f.log.Info().Dur("away_ms", now.Sub(f.lostAt)).Msg("store_regained")
+		f.lostAt = time.Time{}
+		f.state.Regained(now)
+	}
+}
+
+// failed notes a call without an answer.
+func (f *Follower) failed(ctx context.Context, call string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	if f.lostAt.IsZero() {
+		f.lostAt = now
+		f.log.Warn().Str("call", call).Dur("last_answer_ms", now.Sub(f.confirmedAt)).Err(err).Msg("store_lost")
+	}
+}
+
+// change applies a step to the state, logs its effects and publishes the view.
+func (f *Follower) change(step func(now time.Time) []Effect) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.state.revision
+	effects := step(f.now())
+	for _, e := range effects {
+		f.log.Info().Str("subject", e.Subject).Uint64("revision", uint64(e.Revision)).Str("detail", e.Detail).Msg(e.Event)
+	}
+	if len(effects) == 0 && before == f.state.revision {
+		return
+	}
+	view := f.state.View()
+	f.view.Store(view)
+	for _, fn := range f.subscribers {
+		fn(view)
+	}
+}
+
+func (f *Follower) expireLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, expireInterval)
+		f.change(f.state.Expire)
+	}
+}
+
+// pauseBackoff waits for a random part of the backoff and returns the next one.
+func pauseBackoff(ctx context.Context, backoff time.Duration) time.Duration {
+	pause(ctx, backoff/2+rand.N(backoff/2))
+	return min(2*backoff, lastBackoff)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,7 +169,7 @@
 		MaxHeaderBytes:    e.settings.Limits.MaxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          httpErrorLog(e.log),
+		ErrorLog:          telemetry.HTTPErrorLog(e.log),
 	}
 }
 
@@ -187,7 +187,7 @@
 	router.Handle("/metrics", e.metrics.Handler)
 	router.Handle("/traces", e.traces)
 	router.HandleFunc("/healthz", e.serveHealth)
-	return &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: httpErrorLog(e.log)}
+	return &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: telemetry.HTTPErrorLog(e.log)}
 }
 
 // Run serves until ctx ends, and then stops without cutting requests.
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -2,12 +2,9 @@
 
 import (
 	"encoding/json"
-	"log"
 	"net/http"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/foxtailtack/foxtailtack/internal/membership"
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 )
@@ -71,15 +68,3 @@
 	}
 	return h
 }
-
-// httpErrorLog turns the log of net/http into events.
-func httpErrorLog(logger zerolog.Logger) *log.Logger {
-	return log.New(httpLogWriter{logger}, "", 0)
-}
-
-type httpLogWriter struct{ log zerolog.Logger }
-
-func (w httpLogWriter) Write(line []byte) (int, error) {
-	w.log.Debug().Bytes("text", line).Msg("http_server")
-	return len(line), nil
-}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"github.com/foxtailtack/foxtailtack/internal/backend"
+	"github.com/foxtailtack/foxtailtack/internal/catalog"
+	"github.com/foxtailtack/foxtailtack/internal/placement"
+	"github.com/foxtailtack/foxtailtack/internal/settings"
+	"github.com/foxtailtack/foxtailtack/internal/telemetry"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send a request header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections without a request. It is above all limits that configurations give callers, which reuse
+	// connections until shortly before their own limit.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request header.
+	maxHeaderBytes = 64 << 10
+	// memoryShare is the part of the machine's memory from which the runtime collects garbage more often.
+	memoryShare = 0.6
+)
+
+// Paths names the calls that callers and the platform make.
+type Paths struct {
+	Lookup string
+	Ready  string
+}
+
+// Options holds what a Gateway works with. All fields are required.
+type Options struct {
+	Settings  *settings.Gateway
+	Dialect   Dialect
+	Paths     Paths
+	Store     catalog.Store
+	Registrar Registrar
+	Log       zerolog.Logger
+	// DroppedLines returns the number of log lines that were dropped.
+	DroppedLines func() uint64
+}
+
+// Gateway is an entry host process.
+type Gateway struct {
+	settings *settings.Gateway
+	dialect  Dialect
+	log      zerolog.Logger
+	self     *catalog.Host
+	follower *catalog.Follower
+	backends *backend.Client
+	register *registration
+	metrics  *gatewayMetrics
+
+	rootMetrics *telemetry.Metrics
+	traces      *telemetry.Traces
+
+	mu    sync.Mutex
+	table *placement.Table
+	rng   *rand.Rand
+
+	// stopping is true from SIGTERM on.
+	stopping atomic.Bool
+	active   atomic.Int64
+	servers  []*listener
+}
+
+// listener is an HTTP server with its listener.
+type listener struct {
+	name   string
+	server *http.Server
+	listen net.Listener
+}
+
+// New prepares a process and binds its addresses.
+func New(o Options) (*Gateway, error) {
+	s := o.Settings
+	if s.MemoryLimitMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimitMB<<20)))
+	}
+	traces, err := telemetry.NewTraces(s.HostID, s.Log.TraceSample)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	g := &Gateway{
+		settings: s, dialect: o.Dialect, log: o.Log, traces: traces,
+		self: &catalog.Host{
+			ID: s.HostID, Incarnation: catalog.Incarnation(time.Now().UnixMilli()), FailureDomain: s.FailureDomain, Region: s.Region,
+			CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
+		},
+		follower: catalog.NewFollower(o.Store, o.Log),
+		backends: backend.NewClientFor(o.Dialect.Protocol()),
+		table:    placement.NewTable(placement.Settings{RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack}, s.HostID, s.FailureDomains),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	g.rootMetrics = telemetry.NewMetrics(map[string]string{"host": s.HostID, "failure_domain": s.FailureDomain})
+	g.metrics = newGatewayMetrics(g.rootMetrics.Scope)
+	g.register = &registration{registrar: o.Registrar, host: g.self, listed: g.isListed, log: o.Log}
+	g.follower.Subscribe(g.configure)
+	return g, g.bind(o.Paths)
+}
+
+// isListed reports whether the catalog has this process's entry.
+func (g *Gateway) isListed() bool {
+	h := g.follower.View().Hosts[g.self.ID]
+	return h != nil && h.Incarnation == g.self.Incarnation
+}
+
+// configure takes a new view into use.
+func (g *Gateway) configure(view *catalog.View) {
+	g.mu.Lock()
+	g.table.Configure(view)
+	g.mu.Unlock()
+	retain(g.backends, view)
+}
+
+func (g *Gateway) bind(paths Paths) error {
+	lookup := mux.NewRouter()
+	lookup.HandleFunc(paths.Lookup, g.serveLookup).Methods(http.MethodGet)
+	ready := mux.NewRouter()
+	ready.HandleFunc(paths.Ready, g.serveReady).Methods(http.MethodGet)
+	admin := mux.NewRouter()
+	admin.Handle("/metrics", g.rootMetrics.Handler)
+	admin.Handle("/traces", g.traces)
+	for _, l := range []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{"caller_address", g.settings.CallerAddress, g},
+		{"lookup_address", g.settings.LookupAddress, lookup},
+		{"ready_address", g.settings.ReadyAddress, ready},
+		{"admin_address", g.settings.AdminAddress, admin},
+	} {
+		listen, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return Error.New("%s: %v", l.name, err)
+		}
+		g.servers = append(g.servers, &listener{name: l.name, listen: listen, server: &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: telemetry.HTTPErrorLog(g.log),
+		}})
+	}
+	return nil
+}
+
+// Run serves until ctx ends, and then stops without cutting requests.
+func (g *Gateway) Run(ctx context.Context) error {
+	failed := make(chan error, len(g.servers))
+	for _, l := range g.servers {
+		go func() {
+			if err := l.server.Serve(l.listen); !errors.Is(err, http.ErrServerClosed) {
+				failed <- Error.New("%s: %v", l.name, err)
+			}
+		}()
+	}
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	go g.follower.Run(background)
+	registered, leave := context.WithCancel(background)
+	defer leave()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		g.register.run(registered)
+	}()
+	g.log.Info().Str("caller_address", g.settings.CallerAddress.String()).Int64("incarnation", int64(g.self.Incarnation)).Msg("started")
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		leave()
+		g.stop()
+		<-left
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/foxtailtack/foxtailtack/internal/catalog"
+	"github.com/foxtailtack/foxtailtack/internal/placement"
+	"github.com/foxtailtack/foxtailtack/internal/result"
+)
+
+const (
+	// answerMargin is the time after a request's deadline for which its answer is awaited: a backend server that stops work at
+	// the deadline says so itself, one round trip later. The platform wants an answer at most half a second after it.
+	answerMargin = 200 * time.Millisecond
+	// tracerName names the instrumentation of this package.
+	tracerName = "github.com/foxtailtack/foxtailtack/internal/gateway"
+)
+
+// request is one request of a caller.
+type request struct {
+	g     *Gateway
+	info  RequestInfo
+	view  *catalog.View
+	route *catalog.Route
+	// target is the service that the request goes to.
+	target   string
+	arrived  time.Time
+	deadline time.Time
+	// patience is the end of the time that the caller waits.
+	patience time.Time
+	method   string
+	path     string
+	header   http.Header
+	body     []byte
+	span     trace.Span
+
+	// tried lists the servers that the request was offered to.
+	tried    []string
+	attempts int
+	// last is the latest decision.
+	last placement.Decision
+	// mayHaveRun is true once an attempt ended without an answer or a promise.
+	mayHaveRun bool
+}
+
+// ServeHTTP takes the request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req, failure := g.receive(r)
+	if failure != nil {
+		g.refuse(w, req, failure)
+		return
+	}
+	ctx, span := otel.Tracer(tracerName).Start(r.Context(), "request", trace.WithAttributes(
+		attribute.String("foxtailtack.request_id", req.info.ID), attribute.String("foxtailtack.route", req.route.Name)))
+	defer span.End()
+	req.span = span
+	answer, failure := req.run(ctx)
+	if failure != nil {
+		g.refuse(w, req, failure)
+		return
+	}
+	g.answer(w, req, answer)
+}
+
+// receive reads the request and finds its route.
+func (g *Gateway) receive(r *http.Request) (*request, *result.Failure) {
+	now := time.Now()
+	req := &request{
+		g: g, info: g.dialect.Request(r), view: g.follower.View(), arrived: now,
+		method: r.Method, path: r.RequestURI, header: r.Header,
+	}
+	if req.info.ID == "" {
+		req.info.ID = uuid.NewString()
+	}
+	configuration := req.view.Configuration
+	if configuration == nil {
+		return req, result.Fail(result.NotReady, "no configuration is known yet")
+	}
+	req.route = configuration.Route(hostName(r.Host), r.URL.EscapedPath())
+	if req.route == nil {
+		return req, result.Fail(result.NoRoute, "no route for host name %q and path %q", r.Host, r.URL.Path)
+	}
+	req.patience = now.Add(req.route.Timeout)
+	if req.info.Patience > 0 {
+		req.patience = now.Add(req.info.Patience)
+	}
+	req.deadline = now.Add(req.route.Timeout)
+	if req.patience.Before(req.deadline) {
+		req.deadline = req.patience
+	}
+	return req, req.readBody(r, configuration.Limits.BodyBytes)
+}
+
+// hostName removes the port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// readBody reads the whole body, so that an attempt can be repeated and never waits for a slow caller.
+func (req *request) readBody(r *http.Request, limit int64) *result.Failure {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return result.Fail(result.BodyTooLarge, "the body exceeds %d bytes", limit)
+	case err != nil:
+		return result.Fail(result.BadRequest, "the body cannot be read: %v", err)
+	}
+	req.body = body
+	return nil
+}
+
+// refuse ends a request with a failure of this host.
+func (g *Gateway) refuse(w http.ResponseWriter, req *request, failure *result.Failure) {
+	if failure.RetryAfter == 0 && failure.Code.NotRun() && failure.Code.Describe().Status == http.StatusServiceUnavailable {
+		failure = failure.After(g.retryAfter(req))
+	}
+	g.logRequest(req, failure, failure.Code.Describe().Status)
+	result.WritePrecise(w, failure)
+}
+
+// retryAfter returns when the caller should come back.
+func (g *Gateway) retryAfter(req *request) time.Duration {
+	rank, remaining := 0, time.Second
+	if req.route != nil {
+		rank, remaining = req.route.Rank, time.Until(req.patience)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return placement.RetryAfter(rank, remaining, g.rng)
+}
+
+// answer sends a backend server's answer on unchanged.
+func (g *Gateway) answer(w http.ResponseWriter, req *request, a *answer) {
+	header := w.Header()
+	for name, values := range a.header {
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// A nil value keeps net/http from guessing a type.
+		header["Content-Type"] = nil
+	}
+	if req.method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	g.logRequest(req, nil, a.status)
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		g.log.Info().Str("request_id", req.info.ID).Err(err).Msg("answer_not_delivered")
+	}
+}
+
+// logRequest writes the line of a request with the inputs of its latest decision.
+func (g *Gateway) logRequest(req *request, failure *result.Failure, status int) {
+	took := time.Since(req.arrived)
+	code := result.OK
+	event := g.log.Info()
+	if failure != nil {
+		code = failure.Code
+		event = g.log.Warn()
+	}
+	g.metrics.request(req, code, took)
+	event.Str("request_id", req.info.ID).Int("status", status).Int("code", int(code)).Str("result", code.Describe().Name)
+	if req.route != nil {
+		event.Str("route", req.route.Name).Int("rank", req.route.Rank).Str("service", req.target)
+	}
+	if req.view.Configuration != nil {
+		event.Uint64("config", uint64(req.view.Configuration.Version))
+	}
+	event.Uint64("revision", uint64(req.view.Revision)).Int64("took_ms", took.Milliseconds()).Int("attempts", req.attempts)
+	if d := &req.last; d.Reason != "" {
+		event.Str("reason", string(d.Reason)).Int64("expected_ms", d.Expected.Milliseconds()).Int("usable", d.Usable)
+		if d.Server != nil {
+			event.Str("server", d.Server.ID).Float64("load", d.Load).Int64("load_age_ms", d.LoadAge.Milliseconds()).Bool("warm", d.Warm)
+		}
+	}
+	if failure != nil {
+		event.Str("message", failure.Message).Int64("retry_after_ms", failure.RetryAfter.Milliseconds())
+	}
+	event.Msg("request")
+}
+
--- /dev/null
+++ b/internal/gateway/register.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/foxtailtack/foxtailtack/internal/catalog"
+)
+
+const (
+	// registrationTTL bounds how long a dead host stays in look-up answers. The platform allows its stability window and three
+	// seconds more, 6 s and up.
+	registrationTTL = 4 * time.Second
+	// renewInterval leaves room for two failed renewals within the lease.
+	renewInterval = 1300 * time.Millisecond
+	// registerBackoff is the time between two tries while the store does not answer.
+	registerBackoff = 400 * time.Millisecond
+)
+
+// registration keeps the entry of this host in the store.
+type registration struct {
+	registrar Registrar
+	host      *catalog.Host
+	// listed reports whether the store's entry of this host was seen since it was written.
+	listed func() bool
+	log    zerolog.Logger
+
+	lease Lease
+	// putAt is the time at which the entry was last written.
+	putAt time.Time
+}
+
+// run registers the host and renews its lease until ctx ends, and then takes the entry away.
+func (r *registration) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := renewInterval
+		if err := r.step(ctx); err != nil {
+			if ctx.Err() == nil {
+				r.log.Warn().Uint64("lease", uint64(r.lease)).Err(err).Msg("registration_failed")
+			}
+			wait = registerBackoff
+		}
+		pause(ctx, wait)
+	}
+	r.leave()
+}
+
+// step renews the lease, or registers anew if the lease has ended or the entry is missing. A lease that is renewed does
+// not show that its entry was taken away.
+func (r *registration) step(ctx context.Context) error {
+	if r.lease == 0 {
+		return r.register(ctx)
+	}
+	err := r.registrar.Renew(ctx, r.lease)
+	if errors.Is(err, ErrLeaseEnded) {
+		r.log.Info().Uint64("lease", uint64(r.lease)).Msg("lease_ended")
+		r.lease = 0
+		return r.register(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if time.Since(r.putAt) > renewInterval/2 && !r.listed() {
+		r.log.Info().Uint64("lease", uint64(r.lease)).Msg("own_entry_missing")
+		return r.put(ctx)
+	}
+	return nil
+}
+
+func (r *registration) register(ctx context.Context) error {
+	lease, err := r.registrar.Grant(ctx, registrationTTL)
+	if err != nil {
+		return err
+	}
+	r.lease = lease
+	return r.put(ctx)
+}
+
+func (r *registration) put(ctx context.Context) error {
+	err := r.registrar.PutHost(ctx, r.host, r.lease)
+	if errors.Is(err, ErrLeaseEnded) {
+		r.lease = 0
+	}
+	if err == nil {
+		r.putAt = time.Now()
+		r.log.Info().Uint64("lease", uint64(r.lease)).Int64("incarnation", int64(r.host.Incarnation)).Msg("registered")
+	}
+	return err
+}
+
+// leave takes the entry away, so that other hosts do not name this one any more.
+func (r *registration) leave() {
+	if r.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := r.registrar.End(ctx, r.lease)
+	r.log.Info().Uint64("lease", uint64(r.lease)).AnErr("error", err).Msg("unregistered")
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,198 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/foxtailtack/foxtailtack/internal/catalog"
+)
+
+const (
+	// preferred is the number of backend servers that an object is usually sent to. Fewer keep it warm with fewer slow first
+	// requests; one alone could not be relieved.
+	preferred = 2
+	// considered is the number of backend servers among which a request may go when the preferred ones are full or out of use.
+	considered = 6
+	// objectTTL is the time after which an object counts as cold on a server that this host has not asked about it.
+	objectTTL = 30 * time.Second
+	// coldFactor is the ratio of cold to warm service times that is assumed until both were seen.
+	coldFactor = 3
+)
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	Route   *catalog.Route
+	Service string
+	// Object names what the request is about; requests of one object are faster on a server that handled it recently.
+	Object string
+	// Deadline is the time after which an answer is worthless to the caller.
+	Deadline time.Time
+	// Excluded lists the servers that were tried.
+	Excluded []string
+}
+
+// Reason tells why a request was placed or rejected.
+type Reason string
+
+// Reasons of decisions.
+const (
+	Preferred       Reason = "preferred_server"
+	Relieved        Reason = "preferred_servers_full"
+	NoServer        Reason = "no_usable_server"
+	NoRoom          Reason = "servers_full_for_rank"
+	TooLate         Reason = "deadline_before_expected_answer"
+	ColdLimit       Reason = "cold_limit"
+	UnknownServices Reason = "service_not_configured"
+)
+
+// Decision is where a request goes. Server is nil if the request is rejected.
+type Decision struct {
+	Server *catalog.ServerEntry
+	Reason Reason
+	// Expected is the time until the answer is expected.
+	Expected time.Duration
+	// Load is the estimated number of requests at the server, and LoadAge the age of its latest report; negative if there is
+	// none.
+	Load    float64
+	LoadAge time.Duration
+	// Warm is true if the object is expected to be warm on the server.
+	Warm bool
+	// Usable is the number of servers that could be considered.
+	Usable int
+	server *server
+}
+
+// Choose decides where a request goes now.
+func (t *Table) Choose(r *Request, now time.Time) Decision {
+	service := t.service(r.Service)
+	if service == nil {
+		return Decision{Reason: UnknownServices}
+	}
+	usable := t.usable(r, now)
+	if len(usable) == 0 {
+		return Decision{Reason: NoServer}
+	}
+	best := Decision{Reason: NoRoom, Usable: len(usable)}
+	for i, entry := range candidates(usable, r.Object, considered) {
+		option, reason := t.option(r, service, entry, i < preferred, now)
+		if reason == ColdLimit && best.Server == nil {
+			best.Reason = reason
+		}
+		if reason != "" {
+			continue
+		}
+		if best.Server == nil || option.Expected < best.Expected {
+			option.Usable = len(usable)
+			option.Reason = Preferred
+			if i >= preferred {
+				option.Reason = Relieved
+			}
+			best = option
+		}
+	}
+	if best.Server != nil && now.Add(best.Expected).After(r.Deadline) {
+		return Decision{Reason: TooLate, Expected: best.Expected, Usable: len(usable)}
+	}
+	return best
+}
+
+func (t *Table) service(name string) *catalog.Service {
+	if t.view.Configuration == nil {
+		return nil
+	}
+	return t.view.Configuration.Services[name]
+}
+
+// usable lists the servers that may get the request at all.
+func (t *Table) usable(r *Request, now time.Time) []*catalog.ServerEntry {
+	var healthy, ejected []*catalog.ServerEntry
+	for _, entry := range t.view.ByService[r.Service] {
+		if !t.allowed(r, entry) {
+			continue
+		}
+		if t.state(entry).ejection.ejected(now) {
+			ejected = append(ejected, entry)
+		} else {
+			healthy = append(healthy, entry)
+		}
+	}
+	if float64(len(ejected)) > maxEjectedShare*float64(len(ejected)+len(healthy)) {
+		return append(healthy, ejected...)
+	}
+	return healthy
+}
+
+func (t *Table) allowed(r *Request, entry *catalog.ServerEntry) bool {
+	if entry.Draining || t.view.Evacuated[entry.FailureDomain] || !r.Route.AllowedIn(t.regions[entry.FailureDomain]) {
+		return false
+	}
+	for _, id := range r.Excluded {
+		if id == entry.ID {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Table) state(entry *catalog.ServerEntry) *server {
+	key := serverKey{entry.ID, entry.Incarnation}
+	s := t.servers[key]
+	if s == nil {
+		s = &server{entry: entry, objects: map[string]time.Time{}}
+		t.servers[key] = s
+	}
+	return s
+}
+
+// option works out what the request would meet at a server. A reason says that it may not go there now.
+func (t *Table) option(r *Request, service *catalog.Service, entry *catalog.ServerEntry, isPreferred bool, now time.Time) (Decision, Reason) {
+	s := t.state(entry)
+	if now.Before(entry.ColdUntil) {
+		if rate := t.coldRate(entry, service); rate == 0 || !s.cold.available(rate, now) {
+			return Decision{}, ColdLimit
+		}
+	}
+	estimate := s.load.estimate(now)
+	if estimate+1 > t.roomFor(r.Route.Rank, entry.Slots) {
+		return Decision{}, NoRoom
+	}
+	warm := isPreferred || s.isWarm(r.Object, now)
+	d := Decision{Server: entry, Load: estimate, LoadAge: -1, Warm: warm, server: s}
+	if !s.load.reported.IsZero() {
+		d.LoadAge = now.Sub(s.load.reported)
+	}
+	d.Expected = t.roundTrip(entry.FailureDomain) + t.expectedRun(r, s, warm, estimate)
+	return d, ""
+}
+
+func (s *server) isWarm(object string, now time.Time) bool {
+	at, ok := s.objects[object]
+	return ok && now.Sub(at) < objectTTL
+}
+
+// expectedRun returns the time in the queue and the slot of a server.
+func (t *Table) expectedRun(r *Request, s *server, warm bool, estimate float64) time.Duration {
+	seconds := t.serviceTime(r, warm)
+	if s.slowness.count > 0 {
+		seconds *= s.slowness.value
+	}
+	slots := float64(s.entry.Slots)
+	if waiting := estimate + 1 - slots; waiting > 0 {
+		seconds *= 1 + waiting/slots
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// serviceTime returns the average time of the route in seconds.
+func (t *Table) serviceTime(r *Request, warm bool) float64 {
+	times := t.times(r.Route, r.Service)
+	switch {
+	case warm && times.warm.count > 0:
+		return times.warm.value
+	case warm:
+		return times.cold.value / coldFactor
+	case times.cold.count > 0:
+		return times.cold.value
+	default:
+		return times.warm.value * coldFactor
+	}
+}
--- /dev/null
+++ b/internal/placement/observe.go
@@ -0,0 +1,82 @@
+package placement
+
+import "time"
+
+// Observation is the end of an attempt.
+type Observation struct {
+	// Connect is the time that the opening of a connection took, zero if none was opened.
+	Connect time.Duration
+	// Took is the time from the start of the attempt to its end.
+	Took time.Duration
+	// Answered is true if the server ran the request and answered it whole.
+	Answered bool
+	// Shed is true if the server refused the request without running it.
+	Shed bool
+	// Failed is true if the end speaks against the server.
+	Failed bool
+	// Requests is the number of requests at the server that the answer reported; HasRequests is false if it reported none.
+	Requests    int
+	HasRequests bool
+}
+
+// Started notes that the request of a decision is sent. It returns false if the limit of a cold server was used up meanwhile.
+func (t *Table) Started(d *Decision, now time.Time) bool {
+	if now.Before(d.Server.ColdUntil) {
+		service := t.service(d.Server.Service)
+		if service == nil || !d.server.cold.take(t.coldRate(d.Server, service), now) {
+			return false
+		}
+	}
+	d.server.load.own++
+	return true
+}
+
+// Ended notes the end of the attempt of a decision. It returns true if the server is ejected by it.
+func (t *Table) Ended(d *Decision, r *Request, o *Observation, now time.Time) bool {
+	s := d.server
+	s.load.own--
+	if o.HasRequests {
+		s.load.report(o.Requests, now)
+	}
+	if o.Connect > 0 {
+		t.observeRoundTrip(d.Server.FailureDomain, o.Connect)
+	}
+	if o.Answered {
+		t.observeRun(s, r, d, o, now)
+	}
+	switch {
+	case o.Failed, o.Shed && s.load.estimate(now) < float64(s.entry.Slots):
+		return s.ejection.failed(now)
+	case o.Answered:
+		s.ejection.succeeded()
+	}
+	return false
+}
+
+func (t *Table) observeRoundTrip(domain string, connect time.Duration) {
+	m := t.roundTrips[domain]
+	if m == nil {
+		m = &mean{}
+		t.roundTrips[domain] = m
+	}
+	m.add(connect.Seconds())
+}
+
+// observeRun learns service times, the server's speed and which objects it keeps warm.
+func (t *Table) observeRun(s *server, r *Request, d *Decision, o *Observation, now time.Time) {
+	run := max(time.Millisecond, o.Took-t.roundTrip(d.Server.FailureDomain)-o.Connect).Seconds()
+	if waiting := d.Load + 1 - float64(s.entry.Slots); waiting > 0 {
+		run /= 1 + waiting/float64(s.entry.Slots)
+	}
+	wasWarm := s.isWarm(r.Object, now)
+	if expected := t.serviceTime(r, wasWarm); expected > 0 {
+		s.slowness.add(min(maxSlowness, run/expected))
+	}
+	times := t.times(r.Route, r.Service)
+	if wasWarm {
+		times.warm.add(run)
+	} else {
+		times.cold.add(run)
+	}
+	s.objects[r.Object] = now
+}
--- /dev/null
+++ b/internal/placement/table.go
@@ -0,0 +1,144 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/foxtailtack/foxtailtack/internal/catalog"
+)
+
+// Settings are the bounds of the platform that placement keeps.
+type Settings struct {
+	// RetryRatio is the share of a service's requests that may be repeats, over all hosts.
+	RetryRatio float64
+	// RetrySlack is the number of repeats that are allowed besides, over all hosts and the platform's window.
+	RetrySlack float64
+}
+
+// Table is what this host knows of the speed and load of the backend servers.
+type Table struct {
+	settings Settings
+	self     string
+	// regions maps failure domains to regions.
+	regions map[string]string
+	view    *catalog.View
+	hosts   []string
+	servers map[serverKey]*server
+	routes  map[string]*routeTimes
+	splits  map[string]*splitter
+	budgets map[string]*retryBudget
+	// roundTrips holds the time to open a connection to each failure domain.
+	roundTrips map[string]*mean
+}
+
+// serverKey tells incarnations apart: a restarted server has neither the load nor the warm objects of the earlier one.
+type serverKey struct {
+	id          string
+	incarnation catalog.Incarnation
+}
+
+// server is the state of one incarnation of a backend server.
+type server struct {
+	entry    *catalog.ServerEntry
+	load     load
+	ejection ejection
+	cold     coldAllowance
+	// slowness is the average of observed time divided by expected time.
+	slowness mean
+	// objects holds the time at which this host last got an answer about an object from the server.
+	objects map[string]time.Time
+}
+
+// routeTimes holds the times that backend servers need for a route, in seconds.
+type routeTimes struct {
+	// warm is for objects that the server handled recently, cold for others.
+	warm mean
+	cold mean
+}
+
+// NewTable returns an empty table of the host self.
+func NewTable(settings Settings, self string, regions map[string]string) *Table {
+	return &Table{
+		settings: settings, self: self, regions: regions, view: &catalog.View{},
+		servers: map[serverKey]*server{}, routes: map[string]*routeTimes{}, splits: map[string]*splitter{},
+		budgets: map[string]*retryBudget{}, roundTrips: map[string]*mean{},
+	}
+}
+
+// Configure takes a view of the deployment.
+func (t *Table) Configure(view *catalog.View) {
+	t.view = view
+	t.hosts = slices.Sorted(maps.Keys(view.Hosts))
+	if !slices.Contains(t.hosts, t.self) {
+		t.hosts = append(t.hosts, t.self)
+		slices.Sort(t.hosts)
+	}
+	known := map[serverKey]bool{}
+	for _, entry := range view.Servers {
+		key := serverKey{entry.ID, entry.Incarnation}
+		known[key] = true
+		if s := t.servers[key]; s != nil {
+			s.entry = entry
+			continue
+		}
+		t.servers[key] = &server{entry: entry, objects: map[string]time.Time{}}
+	}
+	maps.DeleteFunc(t.servers, func(key serverKey, s *server) bool { return !known[key] && s.load.own == 0 })
+}
+
+// Hosts returns the number of entry hosts, this one included.
+func (t *Table) Hosts() int { return max(1, len(t.hosts)) }
+
+// Service returns the service that the next request of a route goes to.
+func (t *Table) Service(route *catalog.Route, version catalog.Version) string {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	key := route.HostName + route.Prefix
+	split := t.splits[key]
+	if split == nil {
+		split = &splitter{}
+		t.splits[key] = split
+	}
+	return split.next(route, version)
+}
+
+// Arrived credits a request of a caller to the retry budget of its service.
+func (t *Table) Arrived(service string) {
+	t.budget(service).request(t.settings.RetryRatio, t.budgetSize())
+}
+
+// SpendRetry reports whether a repeat may be sent to a service.
+func (t *Table) SpendRetry(service string) bool { return t.budget(service).spend() }
+
+func (t *Table) budgetSize() float64 {
+	return max(1, budgetUse*t.settings.RetrySlack/float64(t.Hosts()))
+}
+
+func (t *Table) budget(service string) *retryBudget {
+	b := t.budgets[service]
+	if b == nil {
+		b = &retryBudget{tokens: t.budgetSize() / 2}
+		t.budgets[service] = b
+	}
+	return b
+}
+
+func (t *Table) times(route *catalog.Route, service string) *routeTimes {
+	key := service + " " + route.HostName + route.Prefix
+	times := t.routes[key]
+	if times == nil {
+		times = &routeTimes{}
+		t.routes[key] = times
+	}
+	return times
+}
+
+// roundTrip returns the round trip to a failure domain, zero if none is known.
+func (t *Table) roundTrip(domain string) time.Duration {
+	if m := t.roundTrips[domain]; m != nil {
+		return time.Duration(m.value * float64(time.Second))
+	}
+	return 0
+}
--- a/internal/result/write.go
+++ b/internal/result/write.go
@@ -24,14 +24,23 @@
 	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
 }
 
-// Write sends a failure to a caller: status, headers and JSON body.
+// Write sends a failure to a caller: status, headers and JSON body. Retry-After has whole seconds.
 func Write(w http.ResponseWriter, f *Failure) {
+	write(w, f, strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+}
+
+// WritePrecise is Write for callers that read fractions of a second in Retry-After.
+func WritePrecise(w http.ResponseWriter, f *Failure) {
+	write(w, f, strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
+}
+
+func write(w http.ResponseWriter, f *Failure, retryAfter string) {
 	description := f.Code.Describe()
 	header := w.Header()
 	header.Set(Header, f.Code.String())
 	header.Set("Content-Type", "application/json")
 	if f.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+		header.Set("Retry-After", retryAfter)
 		header.Set(HeaderRetryAfterMs, strconv.FormatInt(f.RetryAfter.Milliseconds(), 10))
 	}
 	w.WriteHeader(description.Status)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -80,7 +80,7 @@
 
 // describeField says what is wrong with a field in words of the file.
 func describeField(f validator.FieldError) error {
-	key := strings.TrimPrefix(f.Namespace(), "Settings.")
+	_, key, _ := strings.Cut(f.Namespace(), ".")
 	switch f.Tag() {
 	case "required":
 		return fmt.Errorf("key %q is missing", key)
@@ -91,14 +91,20 @@
 	}
 }
 
-func (s *Settings) validate() error {
+// validateFields checks the tags of a settings struct.
+func validateFields(s any) error {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("toml") })
-	if err := v.Struct(s); err != nil {
-		var fields validator.ValidationErrors
-		if errors.As(err, &fields) {
-			return describeField(fields[0])
-		}
+	err := v.Struct(s)
+	var fields validator.ValidationErrors
+	if errors.As(err, &fields) {
+		return describeField(fields[0])
+	}
+	return err
+}
+
+func (s *Settings) validate() error {
+	if err := validateFields(s); err != nil {
 		return err
 	}
 	for key, address := range map[string]netip.AddrPort{
