--- a/internal/backend/outcome.go
+++ b/internal/backend/outcome.go
@@ -55,7 +55,7 @@
 	ID string
 	// ServerID is the id of the backend server that has to run the request, for protocols that check it.
 	ServerID string
-	Method string
+	Method   string
 	// Path is the path with the query; it starts with a slash.
 	Path   string
 	Header http.Header
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,7 @@
 		},
 		follower: catalog.NewFollower(o.Store, o.Log),
 		backends: backend.NewClientFor(o.Dialect.Protocol()),
-		table:    placement.NewTable(placement.Settings{RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack}, s.HostID, s.FailureDomains),
+		table:    placement.NewTable(placement.Settings{RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack}, s.HostID, s.FailureDomain, s.FailureDomains),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.rootMetrics = telemetry.NewMetrics(map[string]string{"host": s.HostID, "failure_domain": s.FailureDomain})
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -197,4 +197,3 @@
 	}
 	event.Msg("request")
 }
-
--- /dev/null
+++ b/internal/placement/candidates.go
@@ -0,0 +1,63 @@
+package placement
+
+import (
+	"github.com/foxtailtack/foxtailtack/internal/catalog"
+)
+
+const (
+	// relief is the number of further servers that may take an object's requests when its preferred server is busy.
+	relief = 3
+	// reuse is the number of requests that are expected to find an object warm after one slow first request. A copy of the
+	// object in the own region pays if it saves more time on the way over that many requests than its first request costs.
+	reuse = 10
+)
+
+// candidate is a server that a request may go to.
+type candidate struct {
+	entry *catalog.ServerEntry
+	// preferred is true for servers that hosts of their region use for the object anyway, so that it is warm there.
+	preferred bool
+}
+
+// candidates lists the servers that may take a request. Each object has few copies, because its first request on a server is
+// slow and pushes out other objects. Regions that are far apart, compared with the cost of such a request, have a copy each.
+func (t *Table) candidates(r *Request, usable []*catalog.ServerEntry) []candidate {
+	order := highest(usable, len(usable), func(s *catalog.ServerEntry) uint64 { return score(r.Object, s.ID) })
+	if !t.copiesPayInEachRegion(r, usable) {
+		return firstPreferred(order, relief+1)
+	}
+	var own []*catalog.ServerEntry
+	var far []candidate
+	seen := map[string]bool{}
+	for _, entry := range order {
+		region := t.regions[entry.FailureDomain]
+		switch {
+		case region == t.region():
+			own = append(own, entry)
+		case !seen[region]:
+			seen[region] = true
+			far = append(far, candidate{entry, true})
+		}
+	}
+	return append(firstPreferred(own, relief), far...)
+}
+
+func firstPreferred(order []*catalog.ServerEntry, count int) []candidate {
+	list := make([]candidate, min(count, len(order)))
+	for i := range list {
+		list[i] = candidate{order[i], i == 0}
+	}
+	return list
+}
+
+// region returns the region of this host.
+func (t *Table) region() string { return t.regions[t.domain] }
+
+// copiesPayInEachRegion compares the way to the farthest region with the cost of a first request.
+func (t *Table) copiesPayInEachRegion(r *Request, usable []*catalog.ServerEntry) bool {
+	var farthest float64
+	for _, entry := range usable {
+		farthest = max(farthest, t.roundTrip(entry.FailureDomain).Seconds())
+	}
+	return farthest*reuse > t.serviceTime(r, false)-t.serviceTime(r, true)
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -7,11 +7,6 @@
 )
 
 const (
-	// preferred is the number of backend servers that an object is usually sent to. Fewer keep it warm with fewer slow first
-	// requests; one alone could not be relieved.
-	preferred = 2
-	// considered is the number of backend servers among which a request may go when the preferred ones are full or out of use.
-	considered = 6
 	// objectTTL is the time after which an object counts as cold on a server that this host has not asked about it.
 	objectTTL = 30 * time.Second
 	// coldFactor is the ratio of cold to warm service times that is assumed until both were seen.
@@ -72,8 +67,8 @@
 		return Decision{Reason: NoServer}
 	}
 	best := Decision{Reason: NoRoom, Usable: len(usable)}
-	for i, entry := range candidates(usable, r.Object, considered) {
-		option, reason := t.option(r, service, entry, i < preferred, now)
+	for _, c := range t.candidates(r, usable) {
+		option, reason := t.option(r, service, c, now)
 		if reason == ColdLimit && best.Server == nil {
 			best.Reason = reason
 		}
@@ -83,7 +78,7 @@
 		if best.Server == nil || option.Expected < best.Expected {
 			option.Usable = len(usable)
 			option.Reason = Preferred
-			if i >= preferred {
+			if !c.preferred {
 				option.Reason = Relieved
 			}
 			best = option
@@ -144,8 +139,8 @@
 }
 
 // option works out what the request would meet at a server. A reason says that it may not go there now.
-func (t *Table) option(r *Request, service *catalog.Service, entry *catalog.ServerEntry, isPreferred bool, now time.Time) (Decision, Reason) {
-	s := t.state(entry)
+func (t *Table) option(r *Request, service *catalog.Service, c candidate, now time.Time) (Decision, Reason) {
+	entry, s := c.entry, t.state(c.entry)
 	if now.Before(entry.ColdUntil) {
 		if rate := t.coldRate(entry, service); rate == 0 || !s.cold.available(rate, now) {
 			return Decision{}, ColdLimit
@@ -155,7 +150,7 @@
 	if estimate+1 > t.roomFor(r.Route.Rank, entry.Slots) {
 		return Decision{}, NoRoom
 	}
-	warm := isPreferred || s.isWarm(r.Object, now)
+	warm := c.preferred || s.isWarm(r.Object, now)
 	d := Decision{Server: entry, Load: estimate, LoadAge: -1, Warm: warm, server: s}
 	if !s.load.reported.IsZero() {
 		d.LoadAge = now.Sub(s.load.reported)
--- a/internal/placement/rendezvous.go
+++ b/internal/placement/rendezvous.go
@@ -7,8 +7,6 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/foxtailtack/foxtailtack/internal/catalog"
 )
 
 // score is the rendezvous weight of a pair of names. All hosts compute the same order without messages.
@@ -44,8 +42,3 @@
 func owns(hosts []string, self, server string, count int) bool {
 	return slices.Contains(highest(hosts, count, func(h string) uint64 { return score(server, h) }), self)
 }
-
-// candidates returns the servers that an object prefers, the most preferred first.
-func candidates(servers []*catalog.ServerEntry, object string, count int) []*catalog.ServerEntry {
-	return highest(servers, count, func(s *catalog.ServerEntry) uint64 { return score(object, s.ID) })
-}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -20,6 +20,8 @@
 type Table struct {
 	settings Settings
 	self     string
+	// domain is the failure domain of this host.
+	domain string
 	// regions maps failure domains to regions.
 	regions map[string]string
 	view    *catalog.View
@@ -57,10 +59,10 @@
 	cold mean
 }
 
-// NewTable returns an empty table of the host self.
-func NewTable(settings Settings, self string, regions map[string]string) *Table {
+// NewTable returns an empty table of the host self in a failure domain.
+func NewTable(settings Settings, self, domain string, regions map[string]string) *Table {
 	return &Table{
-		settings: settings, self: self, regions: regions, view: &catalog.View{},
+		settings: settings, self: self, domain: domain, regions: regions, view: &catalog.View{},
 		servers: map[serverKey]*server{}, routes: map[string]*routeTimes{}, splits: map[string]*splitter{},
 		budgets: map[string]*retryBudget{}, roundTrips: map[string]*mean{},
 	}
