--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,6 +168,7 @@
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	go g.follower.Run(background)
+	go g.measureDistances(background)
 	registered, leave := context.WithCancel(background)
 	defer leave()
 	left := make(chan struct{})
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
 )
 
@@ -53,11 +55,12 @@
 // region returns the region of this host.
 func (t *Table) region() string { return t.regions[t.domain] }
 
-// copiesPayInEachRegion compares the way to the farthest region with the cost of a first request.
+// copiesPayInEachRegion compares the way to the farthest region with the cost of a first request, for which the SLO of the
+// route stands: all hosts know it from the start and come to the same result.
 func (t *Table) copiesPayInEachRegion(r *Request, usable []*catalog.ServerEntry) bool {
-	var farthest float64
+	var farthest time.Duration
 	for _, entry := range usable {
-		farthest = max(farthest, t.roundTrip(entry.FailureDomain).Seconds())
+		farthest = max(farthest, t.roundTrip(entry.FailureDomain))
 	}
-	return farthest*reuse > t.serviceTime(r, false)-t.serviceTime(r, true)
+	return reuse*farthest > r.Route.SLO
 }
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -39,7 +39,7 @@
 		s.load.report(o.Requests, now)
 	}
 	if o.Connect > 0 {
-		t.observeRoundTrip(d.Server.FailureDomain, o.Connect)
+		t.ObserveRoundTrip(d.Server.FailureDomain, o.Connect)
 	}
 	if o.Answered {
 		t.observeRun(s, r, d, o, now)
@@ -53,15 +53,6 @@
 	return false
 }
 
-func (t *Table) observeRoundTrip(domain string, connect time.Duration) {
-	m := t.roundTrips[domain]
-	if m == nil {
-		m = &mean{}
-		t.roundTrips[domain] = m
-	}
-	m.add(connect.Seconds())
-}
-
 // observeRun learns service times, the server's speed and which objects it keeps warm.
 func (t *Table) observeRun(s *server, r *Request, d *Decision, o *Observation, now time.Time) {
 	run := max(time.Millisecond, o.Took-t.roundTrip(d.Server.FailureDomain)-o.Connect).Seconds()
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -3,9 +3,9 @@
 // Shares of a server's slots that a rank may fill, counting the work of all ranks. They answer floods of less urgent work:
 // what is left of the slots is free for the ranks above. The most urgent rank may also use the server's queue.
 const (
-	urgentRoom      = 2.0
-	interactiveRoom = 1.5
-	deferrableRoom  = 1.25
+	urgentRoom      = 4.0
+	interactiveRoom = 3.0
+	deferrableRoom  = 2.0
 )
 
 // roomFor returns the number of requests up to which a server takes work of a rank.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -8,6 +8,9 @@
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
 )
 
+// roundTripRise is the number of observations after which a round trip that grew is believed to have doubled.
+const roundTripRise = 16
+
 // Settings are the bounds of the platform that placement keeps.
 type Settings struct {
 	// RetryRatio is the share of a service's requests that may be repeats, over all hosts.
@@ -31,7 +34,7 @@
 	splits  map[string]*splitter
 	budgets map[string]*retryBudget
 	// roundTrips holds the time to open a connection to each failure domain.
-	roundTrips map[string]*mean
+	roundTrips map[string]time.Duration
 }
 
 // serverKey tells incarnations apart: a restarted server has neither the load nor the warm objects of the earlier one.
@@ -64,7 +67,7 @@
 	return &Table{
 		settings: settings, self: self, domain: domain, regions: regions, view: &catalog.View{},
 		servers: map[serverKey]*server{}, routes: map[string]*routeTimes{}, splits: map[string]*splitter{},
-		budgets: map[string]*retryBudget{}, roundTrips: map[string]*mean{},
+		budgets: map[string]*retryBudget{}, roundTrips: map[string]time.Duration{},
 	}
 }
 
@@ -138,9 +141,15 @@
 }
 
 // roundTrip returns the round trip to a failure domain, zero if none is known.
-func (t *Table) roundTrip(domain string) time.Duration {
-	if m := t.roundTrips[domain]; m != nil {
-		return time.Duration(m.value * float64(time.Second))
+func (t *Table) roundTrip(domain string) time.Duration { return t.roundTrips[domain] }
+
+// ObserveRoundTrip takes the time that opening a connection to a failure domain took. Single connections take much longer
+// when a packet is lost, so the estimate falls at once and rises slowly.
+func (t *Table) ObserveRoundTrip(domain string, took time.Duration) {
+	known := t.roundTrips[domain]
+	if known == 0 || took < known {
+		t.roundTrips[domain] = took
+		return
 	}
-	return 0
+	t.roundTrips[domain] = min(took, known+known/roundTripRise)
 }
