Read the store anew after a watch was cut

Cause: net/http repeated a watch that the store had cut on an open connection. Ruled out: hosts that were cut off; the four hosts had a path to the store.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -21,6 +21,8 @@
 	// some seconds until the bounds hold again.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 1500 * time.Millisecond
+	// shortOutage is the time without an answer from which entries may have lapsed; a watch that was cut is replaced sooner.
+	shortOutage = 500 * time.Millisecond
 	// expireInterval is the time between two looks at lapsed entries.
 	expireInterval = 200 * time.Millisecond
 )
@@ -84,9 +86,10 @@
 	}
 }
 
-// watch follows the changes after a revision until the store has lost that part of its history.
+// watch follows the changes after a revision until a watch fails or the store has lost that part of its history. After a
+// watch that was cut, everything is read anew: the store may drop its history at that moment, and a watch that begins before
+// would wait without hearing of the changes in between.
 func (f *Follower) watch(ctx context.Context, at Revision) {
-	backoff := firstBackoff
 	for ctx.Err() == nil {
 		changes, next, err := f.store.Watch(ctx, at, watchWait)
 		if errors.Is(err, ErrCompacted) {
@@ -95,10 +98,8 @@
 		}
 		if err != nil {
 			f.failed(ctx, "watch", err)
-			backoff = pauseBackoff(ctx, backoff)
-			continue
+			return
 		}
-		backoff = firstBackoff
 		f.answered()
 		at = max(at, next)
 		if len(changes) > 0 {
@@ -116,8 +117,10 @@
 	f.confirmedAt = now
 	if !f.lostAt.IsZero() {
 		f.log.Info().Dur("away_ms", now.Sub(f.lostAt)).Msg("store_regained")
+		if now.Sub(f.lostAt) >= shortOutage {
+			f.state.Regained(now)
+		}
 		f.lostAt = time.Time{}
-		f.state.Regained(now)
 	}
 }
 
