--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -42,6 +42,8 @@
 	lostAt time.Time
 	// confirmedAt is the time of the latest answer.
 	confirmedAt time.Time
+	// cut ends the watch that waits, nil if there is none.
+	cut context.CancelFunc
 }
 
 // NewFollower returns a follower with an empty view.
@@ -90,8 +92,13 @@
 // watch that was cut, everything is read anew: the store may drop its history at that moment, and a watch that begins before
 // would wait without hearing of the changes in between.
 func (f *Follower) watch(ctx context.Context, at Revision) {
+	watching, cut := context.WithCancel(ctx)
+	defer cut()
+	f.mu.Lock()
+	f.cut = cut
+	f.mu.Unlock()
 	for ctx.Err() == nil {
-		changes, next, err := f.store.Watch(ctx, at, watchWait)
+		changes, next, err := f.store.Watch(watching, at, watchWait)
 		if errors.Is(err, ErrCompacted) {
 			f.log.Info().Uint64("revision", uint64(at)).Msg("store_history_compacted")
 			return
@@ -109,6 +116,24 @@
 	}
 }
 
+// CallFailed tells of a call of another part of the process that the store did not answer. A watch that waits does not show
+// that the store is away.
+func (f *Follower) CallFailed(ctx context.Context, call string, err error) { f.failed(ctx, call, err) }
+
+// CallAnswered tells of an answer to a call of another part. If the store was away, the watch that waits may never hear of
+// what changed meanwhile, so everything is read anew.
+func (f *Follower) CallAnswered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostAt.IsZero() {
+		f.confirmedAt = f.now()
+		return
+	}
+	if f.cut != nil {
+		f.cut()
+	}
+}
+
 // answered notes an answer of the store.
 func (f *Follower) answered() {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,7 +106,7 @@
 	}
 	g.rootMetrics = telemetry.NewMetrics(map[string]string{"host": s.HostID, "failure_domain": s.FailureDomain})
 	g.metrics = newGatewayMetrics(g.rootMetrics.Scope)
-	g.register = &registration{registrar: o.Registrar, host: g.self, listed: g.isListed, log: o.Log}
+	g.register = &registration{registrar: o.Registrar, host: g.self, listed: g.isListed, failed: g.follower.CallFailed, answered: g.follower.CallAnswered, log: o.Log}
 	g.follower.Subscribe(g.configure)
 	return g, g.bind(o.Paths)
 }
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -16,6 +16,9 @@
 	registrationTTL = 4 * time.Second
 	// renewInterval leaves room for two failed renewals within the lease.
 	renewInterval = 1300 * time.Millisecond
+	// renewTimeout bounds a renewal, which also shows within seconds that the store is away. The store answers in 4 ms and in
+	// 0.35 s when it is slow.
+	renewTimeout = time.Second
 	// registerBackoff is the time between two tries while the store does not answer.
 	registerBackoff = 400 * time.Millisecond
 )
@@ -26,7 +29,10 @@
 	host      *catalog.Host
 	// listed reports whether the store's entry of this host was seen since it was written.
 	listed func() bool
-	log    zerolog.Logger
+	// failed and answered are told of calls that show whether the store is away.
+	failed   func(ctx context.Context, call string, err error)
+	answered func()
+	log      zerolog.Logger
 
 	lease Lease
 	// putAt is the time at which the entry was last written.
@@ -41,7 +47,10 @@
 			if ctx.Err() == nil {
 				r.log.Warn().Uint64("lease", uint64(r.lease)).Err(err).Msg("registration_failed")
 			}
+			r.failed(ctx, "register", err)
 			wait = registerBackoff
+		} else {
+			r.answered()
 		}
 		pause(ctx, wait)
 	}
@@ -54,7 +63,9 @@
 	if r.lease == 0 {
 		return r.register(ctx)
 	}
-	err := r.registrar.Renew(ctx, r.lease)
+	renewal, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	err := r.registrar.Renew(renewal, r.lease)
 	if errors.Is(err, ErrLeaseEnded) {
 		r.log.Info().Uint64("lease", uint64(r.lease)).Msg("lease_ended")
 		r.lease = 0
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -75,7 +75,7 @@
 		if reason != "" {
 			continue
 		}
-		if best.Server == nil || option.Expected < best.Expected {
+		if best.Server == nil || t.better(&option, &best, now) {
 			option.Usable = len(usable)
 			option.Reason = Preferred
 			if !c.preferred {
@@ -90,6 +90,20 @@
 	return best
 }
 
+// better reports whether an option is better than another one. While work comes back to this region too fast, the servers of
+// other regions come first.
+func (t *Table) better(a, b *Decision, now time.Time) bool {
+	homeA, homeB := t.isHome(a.Server), t.isHome(b.Server)
+	if false && homeA != homeB && !t.drift.allows(t.region(), now) {
+		return homeB
+	}
+	return a.Expected < b.Expected
+}
+
+func (t *Table) isHome(entry *catalog.ServerEntry) bool {
+	return t.regions[entry.FailureDomain] == t.region()
+}
+
 func (t *Table) service(name string) *catalog.Service {
 	if t.view.Configuration == nil {
 		return nil
@@ -146,7 +160,7 @@
 			return Decision{}, ColdLimit
 		}
 	}
-	estimate := s.load.estimate(now)
+	estimate := s.load.estimate(t.usualLoad(entry), now)
 	if estimate+1 > t.roomFor(r.Route.Rank, entry.Slots) {
 		return Decision{}, NoRoom
 	}
@@ -155,7 +169,7 @@
 	if !s.load.reported.IsZero() {
 		d.LoadAge = now.Sub(s.load.reported)
 	}
-	d.Expected = t.roundTrip(entry.FailureDomain) + t.expectedRun(r, s, warm, estimate)
+	d.Expected = t.roundTrip(entry.FailureDomain) + t.expectedRun(r, s, warm, estimate, now)
 	return d, ""
 }
 
@@ -165,11 +179,8 @@
 }
 
 // expectedRun returns the time in the queue and the slot of a server.
-func (t *Table) expectedRun(r *Request, s *server, warm bool, estimate float64) time.Duration {
-	seconds := t.serviceTime(r, warm)
-	if s.slowness.count > 0 {
-		seconds *= s.slowness.value
-	}
+func (t *Table) expectedRun(r *Request, s *server, warm bool, estimate float64, now time.Time) time.Duration {
+	seconds := t.serviceTime(r, warm) * s.slowness.at(now)
 	slots := float64(s.entry.Slots)
 	if waiting := estimate + 1 - slots; waiting > 0 {
 		seconds *= 1 + waiting/slots
@@ -177,17 +188,22 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// serviceTime returns the average time of the route in seconds.
+// serviceTime returns the average time of the route in seconds. Until an answer was seen, the SLO stands for the time of a
+// first request.
 func (t *Table) serviceTime(r *Request, warm bool) float64 {
 	times := t.times(r.Route, r.Service)
 	switch {
 	case warm && times.warm.count > 0:
 		return times.warm.value
-	case warm:
-		return times.cold.value / coldFactor
-	case times.cold.count > 0:
+	case times.cold.count > 0 && !warm:
 		return times.cold.value
-	default:
+	case times.cold.count > 0:
+		return times.cold.value / coldFactor
+	case times.warm.count > 0:
 		return times.warm.value * coldFactor
+	case warm:
+		return r.Route.SLO.Seconds() / coldFactor
+	default:
+		return r.Route.SLO.Seconds()
 	}
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -5,8 +5,13 @@
 )
 
 const (
-	// reportFade is the time constant with which a report about the work of other hosts fades towards their average.
+	// reportFade is the time constant with which a report about the work of other hosts fades towards the server's average.
 	reportFade = 500 * time.Millisecond
+	// averageFade is the age of the latest report at which the average of a server counts no more than that of its service in
+	// the region: a server that got no request since it was busy would else look busy for ever.
+	averageFade = 2 * time.Second
+	// slownessFade is the time constant with which the slowness of a server that gets no requests is forgotten.
+	slownessFade = 3 * time.Second
 	// smoothing is the weight of the latest answer in averages of service times and of the work of other hosts.
 	smoothing = 0.2
 	// maxSlowness bounds the factor by which a backend server counts as slower than its service.
@@ -24,8 +29,8 @@
 	reported time.Time
 }
 
-// report takes the number of running and waiting requests that an answer told.
-func (l *load) report(requests int, now time.Time) {
+// report takes the number of running and waiting requests that an answer told. It returns those of other hosts.
+func (l *load) report(requests int, now time.Time) float64 {
 	l.others = max(0, float64(requests-l.own))
 	if l.reported.IsZero() {
 		l.average = l.others
@@ -33,15 +38,39 @@
 		l.average += smoothing * (l.others - l.average)
 	}
 	l.reported = now
+	return l.others
 }
 
-// estimate returns the expected number of requests at the server.
-func (l *load) estimate(now time.Time) float64 {
+// estimate returns the expected number of requests at the server. Usual is the average of other servers like this one.
+func (l *load) estimate(usual float64, now time.Time) float64 {
 	if l.reported.IsZero() {
-		return float64(l.own)
+		return float64(l.own) + usual
 	}
-	fade := min(1, float64(now.Sub(l.reported))/float64(reportFade))
-	return float64(l.own) + l.others + fade*(l.average-l.others)
+	age := now.Sub(l.reported)
+	average := l.average + fade(age, averageFade)*(usual-l.average)
+	return float64(l.own) + l.others + fade(age, reportFade)*(average-l.others)
+}
+
+// fade grows from 0 to 1 while an observation ages.
+func fade(age, full time.Duration) float64 { return min(1, float64(age)/float64(full)) }
+
+// slowness is the factor by which a server is slower than its service.
+type slowness struct {
+	factor   float64
+	observed time.Time
+}
+
+func (s *slowness) observe(factor float64, now time.Time) {
+	current := s.at(now)
+	s.factor = current + smoothing*(min(maxSlowness, factor)-current)
+	s.observed = now
+}
+
+func (s *slowness) at(now time.Time) float64 {
+	if s.observed.IsZero() {
+		return 1
+	}
+	return s.factor + fade(now.Sub(s.observed), slownessFade)*(1-s.factor)
 }
 
 // mean is an exponential average.
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -28,6 +28,7 @@
 		}
 	}
 	d.server.load.own++
+	t.drift.ran(t.regions[d.Server.FailureDomain], now)
 	return true
 }
 
@@ -36,7 +37,7 @@
 	s := d.server
 	s.load.own--
 	if o.HasRequests {
-		s.load.report(o.Requests, now)
+		t.usualFor(d.Server).add(s.load.report(o.Requests, now) / float64(s.entry.Slots))
 	}
 	if o.Connect > 0 {
 		t.ObserveRoundTrip(d.Server.FailureDomain, o.Connect)
@@ -45,7 +46,7 @@
 		t.observeRun(s, r, d, o, now)
 	}
 	switch {
-	case o.Failed, o.Shed && s.load.estimate(now) < float64(s.entry.Slots):
+	case o.Failed, o.Shed && s.load.estimate(t.usualLoad(d.Server), now) < float64(s.entry.Slots):
 		return s.ejection.failed(now)
 	case o.Answered:
 		s.ejection.succeeded()
@@ -56,18 +57,17 @@
 // observeRun learns service times, the server's speed and which objects it keeps warm.
 func (t *Table) observeRun(s *server, r *Request, d *Decision, o *Observation, now time.Time) {
 	run := max(time.Millisecond, o.Took-t.roundTrip(d.Server.FailureDomain)-o.Connect).Seconds()
-	if waiting := d.Load + 1 - float64(s.entry.Slots); waiting > 0 {
-		run /= 1 + waiting/float64(s.entry.Slots)
-	}
 	wasWarm := s.isWarm(r.Object, now)
-	if expected := t.serviceTime(r, wasWarm); expected > 0 {
-		s.slowness.add(min(maxSlowness, run/expected))
+	s.objects[r.Object] = now
+	if d.Load+1 > float64(s.entry.Slots) {
+		// The time in the queue is not known, so the answer tells nothing about the server's speed.
+		return
 	}
+	s.slowness.observe(run/t.serviceTime(r, wasWarm), now)
 	times := t.times(r.Route, r.Service)
 	if wasWarm {
 		times.warm.add(run)
 	} else {
 		times.cold.add(run)
 	}
-	s.objects[r.Object] = now
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -33,6 +33,9 @@
 	routes  map[string]*routeTimes
 	splits  map[string]*splitter
 	budgets map[string]*retryBudget
+	drift   drift
+	// usual holds the work of other hosts for each slot of a service's servers, by service and region.
+	usual map[string]*mean
 	// roundTrips holds the time to open a connection to each failure domain.
 	roundTrips map[string]time.Duration
 }
@@ -50,7 +53,7 @@
 	ejection ejection
 	cold     coldAllowance
 	// slowness is the average of observed time divided by expected time.
-	slowness mean
+	slowness slowness
 	// objects holds the time at which this host last got an answer about an object from the server.
 	objects map[string]time.Time
 }
@@ -67,7 +70,7 @@
 	return &Table{
 		settings: settings, self: self, domain: domain, regions: regions, view: &catalog.View{},
 		servers: map[serverKey]*server{}, routes: map[string]*routeTimes{}, splits: map[string]*splitter{},
-		budgets: map[string]*retryBudget{}, roundTrips: map[string]time.Duration{},
+		budgets: map[string]*retryBudget{}, usual: map[string]*mean{}, roundTrips: map[string]time.Duration{},
 	}
 }
 
@@ -153,3 +156,18 @@
 	}
 	t.roundTrips[domain] = min(took, known+known/roundTripRise)
 }
+
+// usualLoad returns the average work of other hosts at a server, from the reports of all servers like it.
+func (t *Table) usualLoad(entry *catalog.ServerEntry) float64 {
+	return t.usualFor(entry).value * float64(entry.Slots)
+}
+
+func (t *Table) usualFor(entry *catalog.ServerEntry) *mean {
+	key := entry.Service + " " + t.regions[entry.FailureDomain]
+	m := t.usual[key]
+	if m == nil {
+		m = &mean{}
+		t.usual[key] = m
+	}
+	return m
+}
