--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,7 @@
 // configure takes a new view into use.
 func (g *Gateway) configure(view *catalog.View) {
 	g.mu.Lock()
-	g.table.Configure(view)
+	g.table.Configure(view, time.Now())
 	g.mu.Unlock()
 	retain(g.backends, view)
 }
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -23,9 +23,9 @@
 
 // candidates lists the servers that may take a request. Each object has few copies, because its first request on a server is
 // slow and pushes out other objects. Regions that are far apart, compared with the cost of such a request, have a copy each.
-func (t *Table) candidates(r *Request, usable []*catalog.ServerEntry) []candidate {
+func (t *Table) candidates(r *Request, usable []*catalog.ServerEntry, regional bool) []candidate {
 	order := highest(usable, len(usable), func(s *catalog.ServerEntry) uint64 { return score(r.Object, s.ID) })
-	if !t.copiesPayInEachRegion(r, usable) {
+	if !regional {
 		return firstPreferred(order, relief+1)
 	}
 	var own []*catalog.ServerEntry
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -67,7 +67,12 @@
 		return Decision{Reason: NoServer}
 	}
 	best := Decision{Reason: NoRoom, Usable: len(usable)}
-	for _, c := range t.candidates(r, usable) {
+	regional := t.copiesPayInEachRegion(r, usable)
+	bias := stay
+	if regional {
+		bias = t.drift.bias(t.region(), now)
+	}
+	for _, c := range t.candidates(r, usable, regional) {
 		option, reason := t.option(r, service, c, now)
 		if reason == ColdLimit && best.Server == nil {
 			best.Reason = reason
@@ -75,7 +80,7 @@
 		if reason != "" {
 			continue
 		}
-		if best.Server == nil || t.better(&option, &best, now) {
+		if best.Server == nil || t.better(&option, &best, bias) {
 			option.Usable = len(usable)
 			option.Reason = Preferred
 			if !c.preferred {
@@ -90,14 +95,18 @@
 	return best
 }
 
-// better reports whether an option is better than another one. While work comes back to this region too fast, the servers of
-// other regions come first.
-func (t *Table) better(a, b *Decision, now time.Time) bool {
+// better reports whether an option is better than another one. While work moves between regions too fast, the region that it
+// moves from comes first.
+func (t *Table) better(a, b *Decision, bias bias) bool {
 	homeA, homeB := t.isHome(a.Server), t.isHome(b.Server)
-	if false && homeA != homeB && !t.drift.allows(t.region(), now) {
+	switch {
+	case homeA == homeB || bias == stay:
+		return a.Expected < b.Expected
+	case bias == home:
+		return homeA
+	default:
 		return homeB
 	}
-	return a.Expected < b.Expected
 }
 
 func (t *Table) isHome(entry *catalog.ServerEntry) bool {
--- a/internal/placement/drift.go
+++ b/internal/placement/drift.go
@@ -7,20 +7,36 @@
 	driftWindow = 2 * time.Second
 	// driftBuckets divide a window, so that it slides.
 	driftBuckets = 10
-	// maxDrift is the part of the requests by which the share of the own region may grow from a window to the next. The platform
-	// allows 0.15, over all hosts of a region.
+	// maxDrift is the part of the requests by which the share of the own region may change from a window to the next. The
+	// platform allows 0.15, over all hosts of a region.
 	maxDrift = 0.1
 	// driftLeast is the number of requests in a window below which shares say little.
 	driftLeast = 30
 )
 
-// drift limits how fast the requests of this host come back to their region. It answers loads that build up in one region and
-// fade again, as at a start without warm objects: work that has left a region would come back all at once. Work that leaves is
-// not held, since it would be late.
+// calmAfter is the time after a loss of servers or hosts for which work moves freely, since holding it where it was would make
+// it late. The platform limits movement only while nothing but the traffic changes.
+const calmAfter = 5 * time.Second
+
+// bias says which regions come first.
+type bias int
+
+const (
+	// stay prefers no region.
+	stay bias = iota
+	// home prefers this host's region, away the others.
+	home
+	away
+)
+
+// drift limits how fast the requests of this host move between its region and the others. It answers callers that move
+// from one region to another, and loads that build up and fade, as at a start without warm objects.
 type drift struct {
 	buckets [2 * driftBuckets]map[string]int
 	// newest is the number of the newest bucket since the zero time.
 	newest int64
+	// disturbed is the time of the latest loss of servers or hosts.
+	disturbed time.Time
 }
 
 func (d *drift) advance(now time.Time) {
@@ -60,13 +76,23 @@
 	return own, all
 }
 
-// allows reports whether one more request may run in a region.
-func (d *drift) allows(region string, now time.Time) bool {
+// bias returns which regions the next request should prefer.
+func (d *drift) bias(region string, now time.Time) bias {
 	d.advance(now)
+	if now.Sub(d.disturbed) < calmAfter {
+		return stay
+	}
 	before, allBefore := d.counts(region, driftBuckets)
 	current, all := d.counts(region, 0)
 	if allBefore < driftLeast || all < driftLeast {
-		return true
+		return stay
+	}
+	switch moved := float64(current)/float64(all) - float64(before)/float64(allBefore); {
+	case moved > maxDrift:
+		return away
+	case moved < -maxDrift:
+		return home
+	default:
+		return stay
 	}
-	return float64(current+1)/float64(all+1) <= float64(before)/float64(allBefore)+maxDrift
 }
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -47,7 +47,11 @@
 	}
 	switch {
 	case o.Failed, o.Shed && s.load.estimate(t.usualLoad(d.Server), now) < float64(s.entry.Slots):
-		return s.ejection.failed(now)
+		ejected := s.ejection.failed(now)
+		if ejected {
+			t.drift.disturbed = now
+		}
+		return ejected
 	case o.Answered:
 		s.ejection.succeeded()
 	}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -75,7 +75,10 @@
 }
 
 // Configure takes a view of the deployment.
-func (t *Table) Configure(view *catalog.View) {
+func (t *Table) Configure(view *catalog.View, now time.Time) {
+	if lostCapacity(t.view, view) {
+		t.drift.disturbed = now
+	}
 	t.view = view
 	t.hosts = slices.Sorted(maps.Keys(view.Hosts))
 	if !slices.Contains(t.hosts, t.self) {
@@ -171,3 +174,21 @@
 	}
 	return m
 }
+
+// lostCapacity reports whether servers or hosts are gone, or servers are not to be used any more or again.
+func lostCapacity(before, after *catalog.View) bool {
+	if !maps.Equal(before.Evacuated, after.Evacuated) {
+		return true
+	}
+	for id, entry := range before.Servers {
+		if now := after.Servers[id]; now == nil || now.Draining != entry.Draining || now.Incarnation != entry.Incarnation {
+			return true
+		}
+	}
+	for id, host := range before.Hosts {
+		if now := after.Hosts[id]; now == nil || now.Incarnation != host.Incarnation {
+			return true
+		}
+	}
+	return false
+}
