Follow warm and cold service times as quantiles

Cause: a host sees few requests for each object, so it took objects that other hosts had warmed for cold ones and the time of a first request for a third of what it is; relief servers then got first requests that ended at the time-out.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -9,8 +9,10 @@
 const (
 	// objectTTL is the time after which an object counts as cold on a server that this host has not asked about it.
 	objectTTL = 30 * time.Second
-	// coldFactor is the ratio of cold to warm service times that is assumed until both were seen.
+	// coldFactor is the ratio of cold to warm service times that is assumed until answers were seen.
 	coldFactor = 3
+	// leastColdFactor is the ratio from which a server is taken to work faster on objects that it handled recently.
+	leastColdFactor = 2.5
 )
 
 // Request is what placement needs to know of a request.
@@ -174,7 +176,7 @@
 		return Decision{}, NoRoom
 	}
 	warm := c.preferred || s.isWarm(r.Object, now)
-	d := Decision{Server: entry, Load: estimate, LoadAge: -1, Warm: warm, server: s}
+	d := Decision{Server: entry, Load: estimate, LoadAge: -time.Millisecond, Warm: warm, server: s}
 	if !s.load.reported.IsZero() {
 		d.LoadAge = now.Sub(s.load.reported)
 	}
@@ -197,22 +199,18 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// serviceTime returns the average time of the route in seconds. Until an answer was seen, the SLO stands for the time of a
-// first request.
+// serviceTime returns the time of the route in seconds. Until an answer was seen, the SLO stands for the time of a first
+// request.
 func (t *Table) serviceTime(r *Request, warm bool) float64 {
 	times := t.times(r.Route, r.Service)
-	switch {
-	case warm && times.warm.count > 0:
-		return times.warm.value
-	case times.cold.count > 0 && !warm:
-		return times.cold.value
-	case times.cold.count > 0:
-		return times.cold.value / coldFactor
-	case times.warm.count > 0:
-		return times.warm.value * coldFactor
-	case warm:
-		return r.Route.SLO.Seconds() / coldFactor
-	default:
+	if times.warm.count == 0 {
+		if warm {
+			return r.Route.SLO.Seconds() / coldFactor
+		}
 		return r.Route.SLO.Seconds()
 	}
+	if warm {
+		return times.warm.value
+	}
+	return max(times.cold.value, leastColdFactor*times.warm.value)
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -84,3 +84,25 @@
 	weight := max(smoothing, 1/float64(m.count))
 	m.value += weight * (value - m.value)
 }
+
+// quantile follows a quantile of a stream of times in seconds.
+type quantile struct {
+	value float64
+	count int
+}
+
+// quantileStep is the relative step of a quantile with each observation.
+const quantileStep = 0.05
+
+// add moves the value up or down, so that the given share of the observations lies below it.
+func (q *quantile) add(seconds, share float64) {
+	q.count++
+	switch {
+	case q.count == 1:
+		q.value = seconds
+	case seconds > q.value:
+		q.value *= 1 + quantileStep*share
+	default:
+		q.value *= 1 - quantileStep*(1-share)
+	}
+}
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -67,11 +67,10 @@
 		// The time in the queue is not known, so the answer tells nothing about the server's speed.
 		return
 	}
-	s.slowness.observe(run/t.serviceTime(r, wasWarm), now)
-	times := t.times(r.Route, r.Service)
-	if wasWarm {
-		times.warm.add(run)
-	} else {
-		times.cold.add(run)
+	if wasWarm || d.Warm {
+		s.slowness.observe(run/t.serviceTime(r, true), now)
 	}
+	times := t.times(r.Route, r.Service)
+	times.warm.add(run, warmShare)
+	times.cold.add(run, coldShare)
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -58,11 +58,17 @@
 	objects map[string]time.Time
 }
 
+// Shares of a route's times. Most requests find their object warm; few do not, also where other hosts have warmed it.
+const (
+	warmShare = 0.3
+	coldShare = 0.95
+)
+
 // routeTimes holds the times that backend servers need for a route, in seconds.
 type routeTimes struct {
 	// warm is for objects that the server handled recently, cold for others.
-	warm mean
-	cold mean
+	warm quantile
+	cold quantile
 }
 
 // NewTable returns an empty table of the host self in a failure domain.
