Let less urgent ranks use more of a server's queue

Cause: bookings were refused while the queue of their server had room and the expected answer was well inside the time-out.

--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -4,8 +4,8 @@
 // what is left of the slots is free for the ranks above. The most urgent rank may also use the server's queue.
 const (
 	urgentRoom      = 4.0
-	interactiveRoom = 3.0
-	deferrableRoom  = 2.0
+	interactiveRoom = 4.0
+	deferrableRoom  = 3.5
 )
 
 // roomFor returns the number of requests up to which a server takes work of a rank.
