--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -122,7 +122,14 @@
 
 // CallFailed tells of a call of another part of the process that the store did not answer. A watch that waits does not show
 // that the store is away.
-func (f *Follower) CallFailed(ctx context.Context, call string, err error) { f.failed(ctx, call, err) }
+func (f *Follower) CallFailed(ctx context.Context, call string, err error) {
+	f.failed(ctx, call, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut != nil {
+		f.cut()
+	}
+}
 
 // CallAnswered tells of an answer to a call of another part. If the store was away, the watch that waits may never hear of
 // what changed meanwhile, so everything is read anew.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,7 +111,7 @@
 	g.follower = catalog.NewFollower(g.source, o.Log)
 	g.rootMetrics = telemetry.NewMetrics(map[string]string{"host": s.HostID, "failure_domain": s.FailureDomain})
 	g.metrics = newGatewayMetrics(g.rootMetrics.Scope)
-	g.register = &registration{registrar: o.Registrar, host: g.self, listed: g.isListed, failed: g.follower.CallFailed, answered: g.follower.CallAnswered, log: o.Log}
+	g.register = &registration{registrar: o.Registrar, host: g.self, listed: g.isListed, failed: g.storeFailed, answered: g.storeAnswered, log: o.Log}
 	g.follower.Subscribe(g.configure)
 	return g, g.bind(o.Paths)
 }
@@ -122,6 +122,19 @@
 	return h != nil && h.Incarnation == g.self.Incarnation
 }
 
+// storeFailed and storeAnswered tell the follower of other calls to the store, if it reads the store itself.
+func (g *Gateway) storeFailed(ctx context.Context, call string, err error) {
+	if g.source.Direct() {
+		g.follower.CallFailed(ctx, call, err)
+	}
+}
+
+func (g *Gateway) storeAnswered() {
+	if g.source.Direct() {
+		g.follower.CallAnswered()
+	}
+}
+
 // configure takes a new view into use.
 func (g *Gateway) configure(view *catalog.View) {
 	g.mu.Lock()
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +30,9 @@
 	listTimeout = 2 * time.Second
 	// failedFor is the time for which a failed host is not asked.
 	failedFor = 3 * time.Second
-	// maxAge is the age of news from which a host looks for a better source: a host that reads the store hears it each 1.3 s.
-	maxAge = 1900 * time.Millisecond
+	// maxAge is the age of news from which a host looks for a better source: a host that reads the store hears it each 1.3 s,
+	// and the platform allows three seconds and more until a change is in force on large deployments.
+	maxAge = 2300 * time.Millisecond
 	// storeRetry is the time between two tries at a store that did not answer, while other hosts are asked.
 	storeRetry = 2 * time.Second
 	// fallbackHosts is the number of hosts that are asked in one call while the store does not answer.
@@ -64,45 +67,74 @@
 
 // List implements catalog.Store.
 func (s *Source) List(ctx context.Context) (catalog.Batch, error) {
-	return s.read(ctx, func(ctx context.Context) (catalog.Batch, error) { return s.store.List(ctx) },
-		WatchArgs{Everything: true}, listTimeout)
+	args := WatchArgs{Everything: true}
+	if batch, ok, err := s.followed(ctx, args, listTimeout); ok || err != nil {
+		return batch, err
+	}
+	if !s.storeAway() {
+		batch, err := s.store.List(ctx)
+		s.noteStore(ctx, err)
+		if err == nil || ctx.Err() != nil {
+			return batch, err
+		}
+	}
+	return s.fallback(ctx, args, listTimeout)
 }
 
-// Watch implements catalog.Store.
+// Watch implements catalog.Store. A watch of the store that fails is an error, after which everything is read anew.
 func (s *Source) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) (catalog.Batch, error) {
-	return s.read(ctx, func(ctx context.Context) (catalog.Batch, error) { return s.store.Watch(ctx, after, wait) },
-		WatchArgs{After: after, Wait: pollWait}, pollWait+callMargin)
+	args := WatchArgs{After: after, Wait: pollWait}
+	if batch, ok, err := s.followed(ctx, args, pollWait+callMargin); ok || err != nil {
+		return batch, err
+	}
+	switch failed, away := s.storeFailure(), s.storeAway(); {
+	case !failed:
+		s.setFollowing("")
+		return s.store.Watch(ctx, after, wait)
+	case !away:
+		return catalog.Batch{}, errStoreDue
+	default:
+		return s.fallback(ctx, args, pollWait+callMargin)
+	}
 }
 
-// read asks the hosts that this one follows, then the store, and while the store does not answer any other host.
-func (s *Source) read(ctx context.Context, direct func(context.Context) (catalog.Batch, error), args WatchArgs, timeout time.Duration) (catalog.Batch, error) {
-	view := s.view()
-	storeAway := s.storeAway()
-	for _, host := range sources(view, s.self, s.hasFailed) {
+// errStoreDue ends a watch through other hosts, so that the store is tried again with a call that ends soon.
+var errStoreDue = Error.New("the store is due for another try")
+
+// followed asks the hosts that this one follows. It reports false if the store is to be read.
+func (s *Source) followed(ctx context.Context, args WatchArgs, timeout time.Duration) (catalog.Batch, bool, error) {
+	for _, host := range sources(s.view(), s.self, s.hasFailed) {
 		batch, err := s.ask(ctx, host.ID, host.PeerAddress, args, timeout)
-		if err != nil {
+		switch {
+		case errors.Is(err, catalog.ErrCompacted):
+			return catalog.Batch{}, false, err
+		case err != nil:
 			continue
-		}
-		if batch.Age <= maxAge || storeAway {
-			return batch, nil
+		case batch.Age <= maxAge:
+			return batch, true, nil
 		}
 		s.log.Info().Str("host", host.ID).Dur("age_ms", batch.Age).Msg("relay_stale")
 		break
 	}
-	if !storeAway {
-		batch, err := direct(ctx)
-		s.noteStore(ctx, err)
-		if err == nil || ctx.Err() != nil {
-			return batch, err
-		}
-	}
-	return s.fallback(ctx, view, args, timeout)
+	return catalog.Batch{}, false, nil
+}
+
+// Direct reports whether this host reads the store itself.
+func (s *Source) Direct() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.following == ""
 }
 
-// fallback asks hosts at random. News that is old is still better than none for a host that knows no configuration.
-func (s *Source) fallback(ctx context.Context, view *catalog.View, args WatchArgs, timeout time.Duration) (catalog.Batch, error) {
+// fallback asks hosts at random, first the one that answered last. News that is old is still better than none for a host that
+// knows no configuration.
+func (s *Source) fallback(ctx context.Context, args WatchArgs, timeout time.Duration) (catalog.Batch, error) {
+	view := s.view()
 	for _, target := range s.fallbackTargets(view) {
 		batch, err := s.ask(ctx, target.id, target.address, args, timeout)
+		if errors.Is(err, catalog.ErrCompacted) {
+			return catalog.Batch{}, err
+		}
 		if err == nil && (batch.Age <= maxAge || view.Configuration == nil && len(batch.Changes) > 0) {
 			return batch, nil
 		}
@@ -130,16 +162,50 @@
 		}
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	last := s.lastFollowed()
+	slices.SortStableFunc(list, func(a, b target) int { return compareBool(b.id == last, a.id == last) })
 	return list[:min(fallbackHosts, len(list))]
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+func (s *Source) lastFollowed() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.following
+}
+
+// storeFailure reports whether the latest listing of the store failed.
+func (s *Source) storeFailure() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.storeFailed.IsZero()
+}
+
+// storeAway reports whether the store failed so shortly ago that it is not tried again yet.
 func (s *Source) storeAway() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.storeFailed.IsZero() && time.Since(s.storeFailed) < storeRetry
 }
 
-// noteStore notes the end of a call to the store.
+func (s *Source) setFollowing(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow(id)
+}
+
+// noteStore notes the end of a listing of the store.
 func (s *Source) noteStore(ctx context.Context, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -187,6 +253,9 @@
 	if reply.Compacted {
 		return catalog.Batch{}, Error.Wrap(catalog.ErrCompacted)
 	}
+	if args.Everything && reply.Batch.Revision < s.view().Revision {
+		return catalog.Batch{}, Error.New("host %s knows revision %d, older than %d", id, reply.Batch.Revision, s.view().Revision)
+	}
 	s.follow(id)
 	return reply.Batch, nil
 }
