--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -65,11 +65,14 @@
 	return &Source{store: store, self: self, seeds: seeds, view: view, log: log, clients: map[netip.AddrPort]*rpc.Client{}, failed: map[string]time.Time{}}
 }
 
-// List implements catalog.Store.
+// List implements catalog.Store. A host that read the store itself asks the store again: its watch was cut, and a host that
+// follows it knows no more than it did.
 func (s *Source) List(ctx context.Context) (catalog.Batch, error) {
 	args := WatchArgs{Everything: true}
-	if batch, ok, err := s.followed(ctx, args, listTimeout); ok || err != nil {
-		return batch, err
+	if !s.Direct() {
+		if batch, ok, err := s.followed(ctx, args, listTimeout); ok || err != nil {
+			return batch, err
+		}
 	}
 	if !s.storeAway() {
 		batch, err := s.store.List(ctx)
