--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -11,6 +11,8 @@
 	objectTTL = 30 * time.Second
 	// coldFactor is the ratio of cold to warm service times that is assumed until answers were seen.
 	coldFactor = 3
+	// leastAnswers is the number of answers from which the times of a route are known.
+	leastAnswers = 10
 	// leastColdFactor is the ratio from which a server is taken to work faster on objects that it handled recently.
 	leastColdFactor = 2.5
 )
@@ -91,12 +93,15 @@
 			best = option
 		}
 	}
-	if best.Server != nil && now.Add(best.Expected).After(r.Deadline) {
+	if best.Server != nil && t.knows(r) && now.Add(best.Expected).After(r.Deadline) {
 		return Decision{Reason: TooLate, Expected: best.Expected, Usable: len(usable)}
 	}
 	return best
 }
 
+// knows reports whether enough answers were seen to reject a request because of the time that it would take.
+func (t *Table) knows(r *Request) bool { return t.times(r.Route, r.Service).warm.count >= leastAnswers }
+
 // better reports whether an option is better than another one. While work moves between regions too fast, the region that it
 // moves from comes first.
 func (t *Table) better(a, b *Decision, bias bias) bool {
--- a/internal/placement/parts_test.go
+++ b/internal/placement/parts_test.go
@@ -196,6 +196,12 @@
 	route := &catalog.Route{SLO: time.Second, Rank: 0}
 	table.state(servers[0]).load.own = 9
 	r := &Request{Route: route, Service: "s", Object: "o", Deadline: t0.Add(300 * time.Millisecond)}
+	if d := table.Choose(r, t0); d.Server == nil {
+		t.Fatalf("got %+v, want no rejection while no answer was seen", d)
+	}
+	for range leastAnswers {
+		table.times(route, "s").warm.add(0.5, warmShare)
+	}
 	if d := table.Choose(r, t0); d.Server != nil || d.Reason != TooLate {
 		t.Fatalf("got %+v, want a rejection because of the deadline", d)
 	}
