Use open connections for payments while servers keep them, and tell servers the time less the way back

Cause: a payment on a new connection to another region takes two round trips and misses its SLO; and answers that were ready at the deadline met a host that had just given up, because the server had been told the whole time.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -78,13 +78,22 @@
 	res.Connect = a.connectTime()
 	res.BytesWritten = a.proof.bytes()
 	res.ServerFault = isServerFault(ctx, res)
-	if isSilentReuse(res) {
+	switch {
+	case isSilentReuse(res):
 		// What silenced one open connection often silenced all. New ones take about 1 ms.
 		conns.closeIdle()
+		conns.distrust()
+	case isEndedReuse(res):
+		conns.distrust()
 	}
 	return res
 }
 
+// isEndedReuse reports whether a reused connection ended before an answer began.
+func isEndedReuse(res Result) bool {
+	return res.Reused && res.Outcome == Unknown && res.Failure.Code == result.ConnectionLost
+}
+
 // isSilentReuse reports whether a reused connection gave no answer before the deadline or the cancellation.
 func isSilentReuse(res Result) bool {
 	return res.Reused && res.Outcome == Unknown && res.Failure.Code == result.AttemptTimeout
--- /dev/null
+++ b/internal/backend/distrust_test.go
@@ -0,0 +1,59 @@
+package backend_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxtailtack/foxtailtack/internal/backend"
+	"github.com/foxtailtack/foxtailtack/internal/policy"
+)
+
+// A server that forgets idle connections resets what is sent on them next. After the first such end, work that must not be
+// repeated has to use new connections, or each payment on an open connection has an unknown outcome.
+func TestOpenConnectionsAreDistrustedAfterOneEndedUnnoticed(t *testing.T) {
+	listen, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var opened atomic.Int32
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/second" {
+				conn, _, _ := w.(http.Hijacker).Hijack()
+				_ = conn.Close()
+			}
+		}),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				opened.Add(1)
+			}
+		},
+	}
+	go func() { _ = server.Serve(listen) }()
+	t.Cleanup(func() { _ = server.Close() })
+	protocol := backend.OwnProtocol()
+	protocol.RecentIdle = time.Minute
+	client := backend.NewClientFor(protocol)
+	t.Cleanup(client.Close)
+	service := &policy.Service{Name: "s", MaxAnswerBytes: 1000}
+	target := &policy.BackendServer{ID: "b", Address: netip.MustParseAddrPort(listen.Addr().String()), Slots: 4, MaxConnections: 10}
+	do := func(path string) backend.Result {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		return client.Do(ctx, service, target, &backend.Request{ID: "r", Method: "POST", Path: path})
+	}
+	do("/first")
+	if res := do("/second"); !res.Reused || res.Outcome != backend.Unknown {
+		t.Fatalf("got %+v, want an unknown outcome on an open connection", res)
+	}
+	for range 3 {
+		if res := do("/later"); res.Reused || res.Outcome != backend.Answered {
+			t.Fatalf("got %+v, want an answer on a new connection", res)
+		}
+	}
+}
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -21,6 +21,9 @@
 	// minTimeoutEvidence is the shortest wait without an answer that speaks against a backend server. Callers may give
 	// shorter deadlines than a healthy backend server needs.
 	minTimeoutEvidence = time.Second
+	// distrustFor is the time for which open connections are not used for work that must not be repeated, after one of them had
+	// ended unnoticed: twice the idle time after which a connection is closed here.
+	distrustFor = 10 * time.Second
 	// maxAnswerHeaderBytes bounds the header of an answer.
 	maxAnswerHeaderBytes = 64 << 10
 )
@@ -59,6 +62,10 @@
 	pooled *http.Transport
 	fresh  *http.Transport
 	recent *http.Transport
+
+	mu sync.Mutex
+	// distrusted is the time until which work that must not be repeated uses new connections only.
+	distrusted time.Time
 }
 
 func newServerConns(server *policy.BackendServer, protocol Protocol) *serverConns {
@@ -83,13 +90,27 @@
 		return s.fresh
 	case req.Repeatable:
 		return s.pooled
-	case s.recent != nil:
+	case s.recent != nil && !s.isDistrusted():
 		return s.recent
 	default:
 		return s.fresh
 	}
 }
 
+// distrust notes that an open connection had ended without this process knowing it. Others to the same server have probably
+// ended too, and a request on one of them has an unknown outcome.
+func (s *serverConns) distrust() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.distrusted = time.Now().Add(distrustFor)
+}
+
+func (s *serverConns) isDistrusted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.distrusted)
+}
+
 // closeIdle closes the connections that no attempt uses.
 func (s *serverConns) closeIdle() {
 	s.pooled.CloseIdleConnections()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -134,7 +134,7 @@
 	}
 	res := g.backends.Do(ctx, service, server, &backend.Request{
 		ID: req.info.ID, ServerID: d.Server.ID, Method: req.method, Path: req.path, Header: req.header, Body: req.body,
-		Repeatable: req.route.Idempotent, Budget: max(time.Millisecond, time.Until(req.deadline)),
+		Repeatable: req.route.Idempotent, Budget: max(time.Millisecond, time.Until(req.deadline)-d.RoundTrip),
 	})
 	info := g.dialect.Answer(res.Header)
 	now := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	backends *backend.Client
 	register *registration
 	metrics  *gatewayMetrics
+	dropped  func() uint64
 
 	rootMetrics *telemetry.Metrics
 	traces      *telemetry.Traces
@@ -98,7 +99,7 @@
 		return nil, Error.Wrap(err)
 	}
 	g := &Gateway{
-		settings: s, dialect: o.Dialect, log: o.Log, traces: traces,
+		settings: s, dialect: o.Dialect, log: o.Log, traces: traces, dropped: o.DroppedLines,
 		self: &catalog.Host{
 			ID: s.HostID, Incarnation: catalog.Incarnation(time.Now().UnixMilli()), FailureDomain: s.FailureDomain, Region: s.Region,
 			CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
@@ -230,6 +231,7 @@
 	defer stopBackground()
 	go g.follower.Run(background)
 	go g.measureDistances(background)
+	go g.metrics.reportDropped(background, g.dropped)
 	registered, leave := context.WithCancel(background)
 	defer leave()
 	left := make(chan struct{})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -22,6 +23,18 @@
 	return &gatewayMetrics{scope: scope, lookups: scope.Counter("lookups")}
 }
 
+// reportDropped shows the number of dropped log lines until ctx ends.
+func (m *gatewayMetrics) reportDropped(ctx context.Context, dropped func() uint64) {
+	gauge := m.scope.Gauge("log_lines_dropped")
+	for ctx.Err() == nil {
+		gauge.Update(float64(dropped()))
+		pause(ctx, droppedInterval)
+	}
+}
+
+// droppedInterval is the time between two updates of the number of dropped log lines.
+const droppedInterval = 5 * time.Second
+
 // request counts a request by its route and result.
 func (m *gatewayMetrics) request(req *request, code result.Code, took time.Duration) {
 	rank := "none"
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -49,6 +49,8 @@
 	Reason Reason
 	// Expected is the time until the answer is expected.
 	Expected time.Duration
+	// RoundTrip is the part of it on the way to the server and back.
+	RoundTrip time.Duration
 	// Load is the estimated number of requests at the server, and LoadAge the age of its latest report; negative if there is
 	// none.
 	Load    float64
@@ -185,7 +187,8 @@
 	if !s.load.reported.IsZero() {
 		d.LoadAge = now.Sub(s.load.reported)
 	}
-	d.Expected = t.roundTrip(entry.FailureDomain) + t.expectedRun(r, s, warm, estimate, now)
+	d.RoundTrip = t.roundTrip(entry.FailureDomain)
+	d.Expected = d.RoundTrip + t.expectedRun(r, s, warm, estimate, now)
 	return d, ""
 }
 
