--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,6 +51,8 @@
 	last placement.Decision
 	// mayHaveRun is true once an attempt ended without an answer or a promise.
 	mayHaveRun bool
+	// callerLeft is true if the caller closed its connection before the end.
+	callerLeft bool
 }
 
 // ServeHTTP takes the request of a caller.
@@ -70,6 +72,7 @@
 	defer span.End()
 	req.span = span
 	answer, failure := req.run(ctx)
+	req.callerLeft = r.Context().Err() != nil
 	if failure != nil {
 		g.refuse(w, req, failure)
 		return
@@ -185,7 +188,7 @@
 	if req.view.Configuration != nil {
 		event.Uint64("config", uint64(req.view.Configuration.Version))
 	}
-	event.Uint64("revision", uint64(req.view.Revision)).Int64("took_ms", took.Milliseconds()).Int("attempts", req.attempts)
+	event.Uint64("revision", uint64(req.view.Revision)).Int64("took_ms", took.Milliseconds()).Int("failed_attempts", len(req.tried)).Bool("caller_left", req.callerLeft)
 	if d := &req.last; d.Reason != "" {
 		event.Str("reason", string(d.Reason)).Int64("expected_ms", d.Expected.Milliseconds()).Int("usable", d.Usable)
 		if d.Server != nil {
@@ -193,7 +196,7 @@
 		}
 	}
 	if failure != nil {
-		event.Str("message", failure.Message).Int64("retry_after_ms", failure.RetryAfter.Milliseconds())
+		event.Str("cause", failure.Message).Int64("retry_after_ms", failure.RetryAfter.Milliseconds())
 	}
 	event.Msg("request")
 }
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -434,6 +434,18 @@
 	}
 }
 
+// The line of a failed request names its cause, and the line of its attempt the server and what was sent.
+func TestFailureLinesNameTheCause(t *testing.T) {
+	h := startHost(t, newServer(t, "i-1", reset)).configure()
+	h.send("POST", "/pay/", "failed-id", "")
+	h.eventually("both lines", func() bool { return strings.Count(h.log.String(), "request_id=failed-id") >= 2 })
+	for _, want := range []string{"event=attempt_failed", "outcome=unknown", "bytes_written=", "code=3001", "result=connection_lost", "cause=", "failed_attempts=1"} {
+		if !strings.Contains(h.log.String(), want) {
+			t.Errorf("log lacks %s:\n%s", want, h.log)
+		}
+	}
+}
+
 // The metrics address has counters by result and latency histograms by rank.
 func TestMetricsCountRequests(t *testing.T) {
 	h := startHost(t, newServer(t, "i-1", nil)).configure()
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -71,10 +71,12 @@
 	log     *os.File
 }
 
-// freeAddress returns a loopback address whose port is free now.
-func freeAddress(t *testing.T) netip.AddrPort {
+// freeAddress returns an address whose port is free now. Each host of each run of the soak has a loopback IP address of its
+// own, or the port may be taken by a connection of another process before the host listens on it.
+func freeAddress(t *testing.T, number int) netip.AddrPort {
 	t.Helper()
-	listen, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(os.Getpid() / 128 % 256), byte(10 + number)})
+	listen, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -85,7 +87,7 @@
 func (d *deployment) newHost(i int) *host {
 	t := d.t
 	domain := fmt.Sprintf("d%d", i%2)
-	h := &host{name: fmt.Sprintf("h%d", i), caller: freeAddress(t), ready: freeAddress(t), store: network.New(openLink)}
+	h := &host{name: fmt.Sprintf("h%d", i), caller: freeAddress(t, i), ready: freeAddress(t, i), store: network.New(openLink)}
 	t.Cleanup(h.store.Close)
 	store, err := h.store.Listen(netip.MustParseAddrPort("127.0.0.1:0"), d.storeAddress, netip.Addr{})
 	if err != nil {
@@ -94,8 +96,8 @@
 	var text bytes.Buffer
 	fmt.Fprintf(&text, "host_id = %q\nfailure_domain = %q\nregion = \"r\"\n", h.name, domain)
 	for key, address := range map[string]string{
-		"caller_address": h.caller.String(), "ready_address": h.ready.String(), "lookup_address": freeAddress(t).String(),
-		"peer_address": freeAddress(t).String(), "admin_address": freeAddress(t).String(), "store_address": store.String(),
+		"caller_address": h.caller.String(), "ready_address": h.ready.String(), "lookup_address": freeAddress(t, i).String(),
+		"peer_address": freeAddress(t, i).String(), "admin_address": freeAddress(t, i).String(), "store_address": store.String(),
 	} {
 		fmt.Fprintf(&text, "%s = %q\n", key, address)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -127,13 +127,22 @@
 	for _, h := range d.hosts {
 		for !h.isReady() || d.request(h, "/look/", false) != http.StatusOK {
 			if time.Now().After(deadline) {
-				d.t.Fatalf("%s: host %s does not serve within %v", when, h.name, recoverBound)
+				d.t.Fatalf("%s: host %s does not serve within %v; end of its log:\n%s", when, h.name, recoverBound, h.lastLines())
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
 }
 
+// lastLines returns the end of the host's log.
+func (h *host) lastLines() string {
+	text, err := os.ReadFile(h.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-4000):])
+}
+
 // checkNewConfiguration checks that an accepted configuration is in force on every host within its bound.
 func (d *deployment) checkNewConfiguration() {
 	time.Sleep(stableWindow)
