--- a/internal/config/follow_test.go
+++ b/internal/config/follow_test.go
@@ -13,7 +13,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 	"github.com/foxtailtack/foxtailtack/internal/result"
 	"github.com/foxtailtack/foxtailtack/internal/standin/platform"
-	"github.com/foxtailtack/foxtailtack/internal/store"
+	adapter "github.com/foxtailtack/foxtailtack/platform"
 )
 
 // inForceWithin is the bound of invariant I8 for a deployment of today.
@@ -25,7 +25,7 @@
 }
 
 func startProcess(url string, timeout time.Duration) process {
-	m := config.NewManager(store.NewHTTP(url, "test/", timeout), nil, zerolog.Nop())
+	m := config.NewManager(adapter.NewKeys(url, "test/", timeout), nil, zerolog.Nop())
 	p := process{Manager: m, versions: make(chan policy.Version, 100)}
 	m.Subscribe(func(s *policy.Snapshot) { p.versions <- s.Version })
 	return p
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,8 +27,8 @@
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 	"github.com/foxtailtack/foxtailtack/internal/settings"
 	"github.com/foxtailtack/foxtailtack/internal/slots"
-	"github.com/foxtailtack/foxtailtack/internal/store"
 	"github.com/foxtailtack/foxtailtack/internal/telemetry"
+	"github.com/foxtailtack/foxtailtack/platform"
 )
 
 // Error is the class of errors of this package.
@@ -64,7 +64,7 @@
 	peers    *peer.Client
 	config   *config.Manager
 	hostList hostlist.Source
-	store    *store.HTTP
+	store    *platform.Keys
 	answerer *lookup.Answerer
 	view     *view
 
@@ -120,7 +120,7 @@
 	e.grants = newIssuedGrants(e.capacity)
 	e.peers = peer.NewClient(s.PeerAddress.Addr(), e.resolve)
 	e.router = newRouter(s.HostID, s.FailureDomain, e.peers, e.background)
-	e.store = store.NewHTTP(s.Store.URL, s.Store.KeyPrefix, s.Store.Timeout())
+	e.store = platform.NewKeys(s.Store.URL, s.Store.KeyPrefix, s.Store.Timeout())
 	e.hostList = hostlist.NewHTTP(s.Store.URL, s.Store.Timeout())
 	e.config = config.NewManager(e.store, e.peers, e.log)
 	e.view = newView(e.router.overflowShare)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -166,9 +166,21 @@
 	t.roundTrips[domain] = min(took, known+known/roundTripRise)
 }
 
-// usualLoad returns the average work of other hosts at a server, from the reports of all servers like it.
+// usualLoad returns the average work of other hosts at a server, from the reports of all servers like it. Until the first
+// report, each host of the server's region is assumed to send it as much as this one: at a start all hosts would else fill
+// the same idle servers at once.
 func (t *Table) usualLoad(entry *catalog.ServerEntry) float64 {
-	return t.usualFor(entry).value * float64(entry.Slots)
+	usual := t.usualFor(entry)
+	if usual.count > 0 {
+		return usual.value * float64(entry.Slots)
+	}
+	others := 0
+	for _, h := range t.view.Hosts {
+		if h.Region == t.regions[entry.FailureDomain] && h.ID != t.self {
+			others++
+		}
+	}
+	return float64(others * t.state(entry).load.own)
 }
 
 func (t *Table) usualFor(entry *catalog.ServerEntry) *mean {
--- a/internal/standin/capacity/calls.go
+++ b/internal/standin/capacity/calls.go
@@ -11,8 +11,9 @@
 	"time"
 
 	"github.com/foxtailtack/foxtailtack/internal/hostlist"
-	"github.com/foxtailtack/foxtailtack/internal/standin/platform"
+	standin "github.com/foxtailtack/foxtailtack/internal/standin/platform"
 	"github.com/foxtailtack/foxtailtack/internal/store"
+	"github.com/foxtailtack/foxtailtack/platform"
 )
 
 // callBytes is the number of bytes, in both directions, of calls over a kept connection.
@@ -63,7 +64,7 @@
 		return callBytes{}, err
 	}
 	counted := &countedListener{Listener: listener}
-	p := platform.New()
+	p := standin.New()
 	server := &http.Server{Handler: p, ReadHeaderTimeout: storeTimeout}
 	go func() { _ = server.Serve(counted) }()
 	defer func() { _ = server.Close() }()
@@ -76,7 +77,7 @@
 	}
 	url := "http://" + listener.Addr().String()
 	var c callBytes
-	err = errors.Join(c.measureStore(ctx, store.NewHTTP(url, "foxtailtack/", storeTimeout), counted), c.measureList(ctx, url, counted))
+	err = errors.Join(c.measureStore(ctx, platform.NewKeys(url, "foxtailtack/", storeTimeout), counted), c.measureList(ctx, url, counted))
 	return c, err
 }
 
--- a/internal/standin/capacity/deployment.go
+++ b/internal/standin/capacity/deployment.go
@@ -11,7 +11,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/config"
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 	"github.com/foxtailtack/foxtailtack/internal/standin/fleet"
-	"github.com/foxtailtack/foxtailtack/internal/store"
+	"github.com/foxtailtack/foxtailtack/platform"
 )
 
 const (
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	d := &deployment{Fleet: f, shape: s, document: doc}
-	d.operator = config.NewManager(store.NewHTTP(f.PlatformURL, "foxtailtack/", storeTimeout), nil, zerolog.Nop())
+	d.operator = config.NewManager(platform.NewKeys(f.PlatformURL, "foxtailtack/", storeTimeout), nil, zerolog.Nop())
 	if err := d.settle(ctx, o.Settle); err != nil {
 		f.Stop()
 		return nil, err
--- a/internal/standin/capacity/policies.go
+++ b/internal/standin/capacity/policies.go
@@ -15,8 +15,8 @@
 	"github.com/foxtailtack/foxtailtack/internal/config"
 	"github.com/foxtailtack/foxtailtack/internal/lookup"
 	"github.com/foxtailtack/foxtailtack/internal/policy"
-	"github.com/foxtailtack/foxtailtack/internal/standin/platform"
-	"github.com/foxtailtack/foxtailtack/internal/store"
+	standin "github.com/foxtailtack/foxtailtack/internal/standin/platform"
+	"github.com/foxtailtack/foxtailtack/platform"
 )
 
 // policyCost is what a policy of some size costs an entry host.
@@ -75,7 +75,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	server := &http.Server{Handler: platform.New(), ReadHeaderTimeout: storeTimeout}
+	server := &http.Server{Handler: standin.New(), ReadHeaderTimeout: storeTimeout}
 	go func() { _ = server.Serve(listener) }()
 	return "http://" + listener.Addr().String(), func() { _ = server.Close() }, nil
 }
@@ -93,7 +93,7 @@
 	}
 	defer stop()
 	b := &policyBench{document: document(targetShape(blocks))}
-	b.operator = config.NewManager(store.NewHTTP(url, "", storeTimeout), nil, zerolog.Nop())
+	b.operator = config.NewManager(platform.NewKeys(url, "", storeTimeout), nil, zerolog.Nop())
 	b.peer = &countedPeer{operator: b.operator}
 	b.host = config.NewManager(nil, b.peer, zerolog.Nop())
 	cost := policyCost{blocks: blocks}
--- a/internal/standin/platform/kv.go
+++ b/internal/standin/platform/kv.go
@@ -2,58 +2,81 @@
 
 import (
 	"context"
-	"io"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/gorilla/mux"
-
 	"github.com/foxtailtack/foxtailtack/internal/store"
 )
 
 // maxWatchWait bounds the time that a watch is held.
 const maxWatchWait = time.Minute
 
-type entryAnswer struct {
-	Value    []byte         `json:"value"`
-	Revision store.Revision `json:"revision"`
+// item is an entry as the store shows it.
+type item struct {
+	Key   string         `json:"Key"`
+	Value []byte         `json:"Value"`
+	Rev   store.Revision `json:"Rev"`
+	// AsOf is the revision of the store. Here each key counts its own revisions.
+	AsOf store.Revision `json:"AsOf"`
 }
 
 type writeAnswer struct {
-	Revision store.Revision `json:"revision"`
+	Rev store.Revision `json:"Rev"`
+}
+
+type watchAnswer struct {
+	Events []item         `json:"events"`
+	AsOf   store.Revision `json:"AsOf"`
+}
+
+// transaction is a write of one key under a condition.
+type transaction struct {
+	IfRev []struct {
+		Key string         `json:"Key"`
+		Rev store.Revision `json:"Rev"`
+	} `json:"IfRev"`
+	SetKeys []struct {
+		Key   string `json:"Key"`
+		Value []byte `json:"Value"`
+	} `json:"SetKeys"`
 }
 
+// maxTransactionBytes holds the largest value in base64.
+const maxTransactionBytes = 2 * store.MaxValueBytes
+
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("Key")
 	p.mu.Lock()
-	entry, ok := p.values[mux.Vars(r)["key"]]
+	entry, ok := p.values[key]
 	p.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	answer(w, entryAnswer(entry))
+	answer(w, item{key, entry.Value, entry.Revision, entry.Revision})
 }
 
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
-	expected, err := strconv.ParseUint(r.URL.Query().Get("expected"), 10, 64)
-	if err != nil {
-		http.Error(w, "expected: want a revision", http.StatusBadRequest)
+	var t transaction
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTransactionBytes)).Decode(&t)
+	if err != nil || len(t.IfRev) != 1 || len(t.SetKeys) != 1 || t.IfRev[0].Key != t.SetKeys[0].Key {
+		http.Error(w, "want one condition and one value for the same key", http.StatusBadRequest)
 		return
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxValueBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+	if len(t.SetKeys[0].Value) > store.MaxValueBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
-	revision, ok, lost := p.swap(mux.Vars(r)["key"], value, store.Revision(expected))
+	revision, ok, lost := p.swap(t.SetKeys[0].Key, t.SetKeys[0].Value, t.IfRev[0].Rev)
 	switch {
 	case !ok:
-		w.WriteHeader(http.StatusConflict)
+		w.WriteHeader(http.StatusPreconditionFailed)
 	case lost:
 		dropConnection()
 	default:
-		answer(w, writeAnswer{Revision: revision})
+		answer(w, writeAnswer{Rev: revision})
 	}
 }
 
@@ -75,41 +98,27 @@
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after: want a revision", http.StatusBadRequest)
 		return
 	}
-	waitMs, err := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	waitMs, err := strconv.ParseInt(query.Get("WaitMs"), 10, 64)
 	if err != nil || waitMs < 0 {
-		http.Error(w, "wait_ms: want a number of milliseconds", http.StatusBadRequest)
-		return
-	}
-	if waitMs == 0 {
-		p.poll(w, mux.Vars(r)["key"], store.Revision(after))
+		http.Error(w, "WaitMs: want a number of milliseconds", http.StatusBadRequest)
 		return
 	}
 	wait := min(time.Duration(waitMs)*time.Millisecond, maxWatchWait)
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
-	entry, ok := p.waitForChange(ctx, mux.Vars(r)["key"], store.Revision(after))
+	key := query.Get("Prefix")
+	entry, ok := p.waitForChange(ctx, key, store.Revision(after))
 	if !ok {
-		w.WriteHeader(http.StatusNoContent)
-		return
-	}
-	answer(w, entryAnswer(entry))
-}
-
-// poll answers a watch that does not wait. It is a read, so the lag of watches does not apply.
-func (p *Platform) poll(w http.ResponseWriter, key string, after store.Revision) {
-	p.mu.Lock()
-	entry := p.values[key]
-	p.mu.Unlock()
-	if entry.Revision <= after {
-		w.WriteHeader(http.StatusNoContent)
+		answer(w, watchAnswer{Events: []item{}, AsOf: store.Revision(after)})
 		return
 	}
-	answer(w, entryAnswer(entry))
+	answer(w, watchAnswer{Events: []item{{key, entry.Value, entry.Revision, entry.Revision}}, AsOf: entry.Revision})
 }
 
 // waitForChange waits until the key's revision is above after, and then for the configured lag.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -14,7 +14,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/store"
 )
 
-// Platform is an http.Handler. It speaks the protocols that store.HTTP and hostlist.HTTP document, and has switches for
+// Platform is an http.Handler. It speaks the part of the store's protocol that platform.Keys uses and the one that hostlist.HTTP documents, and has switches for
 // faults as methods and as HTTP endpoints under /standin/. The switches do not affect /standin/ itself.
 type Platform struct {
 	router *mux.Router
@@ -47,9 +47,9 @@
 		changed: make(chan struct{}),
 		hosts:   map[string]hostlist.State{},
 	}
-	p.router.HandleFunc("/v1/kv/{key:.+}", p.counted(func(s *Stats) { s.Reads++ }, p.get)).Methods(http.MethodGet)
-	p.router.HandleFunc("/v1/kv/{key:.+}", p.counted(func(s *Stats) { s.Writes++ }, p.put)).Methods(http.MethodPut)
-	p.router.HandleFunc("/v1/watch/{key:.+}", p.counted(func(s *Stats) { s.Watches++ }, p.watch)).Methods(http.MethodGet)
+	p.router.HandleFunc("/kv-key", p.counted(func(s *Stats) { s.Reads++ }, p.get)).Methods(http.MethodGet)
+	p.router.HandleFunc("/kv-txn", p.counted(func(s *Stats) { s.Writes++ }, p.put)).Methods(http.MethodPost)
+	p.router.HandleFunc("/kv-watch", p.counted(func(s *Stats) { s.Watches++ }, p.watch)).Methods(http.MethodGet)
 	p.router.HandleFunc("/v1/hosts", p.counted(func(s *Stats) { s.HostLists++ }, p.list)).Methods(http.MethodGet)
 	p.addSwitches()
 	return p
--- a/internal/standin/platform/switches_test.go
+++ b/internal/standin/platform/switches_test.go
@@ -12,6 +12,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/hostlist"
 	"github.com/foxtailtack/foxtailtack/internal/standin/platform"
 	"github.com/foxtailtack/foxtailtack/internal/store"
+	adapter "github.com/foxtailtack/foxtailtack/platform"
 )
 
 const timeout = 5 * time.Second
@@ -33,7 +34,7 @@
 	server := httptest.NewServer(platform.New())
 	defer server.Close()
 	ctx := context.Background()
-	kv, hosts := store.NewHTTP(server.URL, "", timeout), hostlist.NewHTTP(server.URL, timeout)
+	kv, hosts := adapter.NewKeys(server.URL, "", timeout), hostlist.NewHTTP(server.URL, timeout)
 
 	post(t, server.URL+"/standin/hosts/h1?state=live", http.StatusNoContent)
 	post(t, server.URL+"/standin/hosts/h2?state=leaving", http.StatusNoContent)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -15,6 +15,9 @@
 // MaxValueBytes is the largest value that the platform's service holds.
 const MaxValueBytes = 1 << 20
 
+// WatchWait is the longest wait that callers ask for. The service ends longer ones early.
+const WatchWait = 30 * time.Second
+
 // Errors that callers tell apart with errors.Is.
 var (
 	// ErrNotFound: the key does not exist.
