--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # README.md explains each target.
 BIN := bin
 
-.PHONY: build test lint demo measure capacity clean
+.PHONY: build test soak lint demo measure capacity clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -9,6 +9,9 @@
 test:
 	./scripts/test
 
+soak:
+	./scripts/soak
+
 lint:
 	./scripts/lint
 
--- a/cmd/foxtailtack/main.go
+++ b/cmd/foxtailtack/main.go
@@ -8,7 +8,5 @@
 )
 
 func main() {
-	entry := &entryCommand{stdout: os.Stdout, stderr: os.Stderr}
-	gateway := &gatewayCommand{stdout: os.Stdout, stderr: os.Stderr}
-	os.Exit(operator.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, entry, gateway))
+	os.Exit(operator.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, entryCommand(os.Stdout, os.Stderr), gatewayCommand(os.Stdout, os.Stderr)))
 }
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/foxtailtack/foxtailtack/internal/wait"
 	"github.com/rs/zerolog"
 )
 
@@ -115,7 +116,7 @@
 		at = max(at, batch.Revision)
 		if len(batch.Changes) > 0 {
 			f.change(func(now time.Time) []Effect { return f.state.Apply(batch.Changes, at, now) }, batch.Changes)
-			pause(ctx, batchPause)
+			wait.For(ctx, batchPause)
 		}
 	}
 }
@@ -205,20 +206,13 @@
 
 func (f *Follower) expireLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, expireInterval)
+		wait.For(ctx, expireInterval)
 		f.change(f.state.Expire, nil)
 	}
 }
 
 // pauseBackoff waits for a random part of the backoff and returns the next one.
 func pauseBackoff(ctx context.Context, backoff time.Duration) time.Duration {
-	pause(ctx, backoff/2+rand.N(backoff/2))
+	wait.For(ctx, backoff/2+rand.N(backoff/2))
 	return min(2*backoff, lastBackoff)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -7,6 +7,7 @@
 
 	"github.com/foxtailtack/foxtailtack/internal/membership"
 	"github.com/foxtailtack/foxtailtack/internal/slots"
+	"github.com/foxtailtack/foxtailtack/internal/wait"
 )
 
 // Periods of the loops.
@@ -44,7 +45,7 @@
 	e.background(func(ctx context.Context) {
 		for ctx.Err() == nil {
 			step(ctx)
-			pause(ctx, interval+rand.N(interval/5)-interval/10)
+			wait.For(ctx, interval+rand.N(interval/5)-interval/10)
 		}
 	})
 }
@@ -144,7 +145,7 @@
 		if e.followsStore() {
 			e.followWhileWanted(ctx)
 		}
-		pause(ctx, roleInterval)
+		wait.For(ctx, roleInterval)
 	}
 }
 
@@ -158,15 +159,7 @@
 	defer stop()
 	e.background(func(context.Context) { e.config.FollowStore(follow) })
 	for ctx.Err() == nil && e.followsStore() {
-		pause(ctx, roleInterval)
-	}
-}
-
-// pause waits for a time or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		wait.For(ctx, roleInterval)
 	}
 }
 
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/foxtailtack/foxtailtack/internal/membership"
+	"github.com/foxtailtack/foxtailtack/internal/wait"
 )
 
 const (
@@ -46,9 +47,9 @@
 // endForwards waits until the requests that other hosts passed here have ended and their answers are on the way.
 func (e *Entry) endForwards(ctx context.Context) {
 	for e.forwards.Load() > 0 && ctx.Err() == nil {
-		pause(ctx, goodbyeInterval)
+		wait.For(ctx, goodbyeInterval)
 	}
-	pause(ctx, answerGrace)
+	wait.For(ctx, answerGrace)
 }
 
 // longestTTL is the longest time for which a caller may use an answer that names this host.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -29,8 +29,6 @@
 	Request(r *http.Request) RequestInfo
 	// Answer reads the headers of a backend server's answer.
 	Answer(header http.Header) AnswerInfo
-	// Health reads the headers of an answer to a health check.
-	Health(header http.Header) HealthInfo
 	// Lookup reads the query of a look-up.
 	Lookup(r *http.Request) LookupQuery
 	// EncodeLookup writes the answer to a look-up.
@@ -63,14 +61,6 @@
 	Slots   int
 }
 
-// HealthInfo is what the headers of an answer to a health check tell.
-type HealthInfo struct {
-	// ServerID is the backend server that answered.
-	ServerID string
-	// ColdFor is how much longer it is cold.
-	ColdFor time.Duration
-}
-
 // LookupQuery is a client's question where to connect.
 type LookupQuery struct {
 	HostName      string
--- a/internal/gateway/distance.go
+++ b/internal/gateway/distance.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
+	"github.com/foxtailtack/foxtailtack/internal/wait"
 )
 
 const (
@@ -28,11 +29,11 @@
 				known[domain] = true
 			}
 		}
-		wait := firstDistances
+		interval := firstDistances
 		if len(known) >= len(g.settings.FailureDomains) {
-			wait = distanceInterval
+			interval = distanceInterval
 		}
-		pause(ctx, wait)
+		wait.For(ctx, interval)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,7 +223,7 @@
 	}
 	defer g.closeTelemetry()
 	go func() {
-		if err := relay.Serve(g.peers, g.follower); err != nil && !g.stopping.Load() {
+		if err := relay.Serve(g.peers, g.follower); !g.stopping.Load() {
 			failed <- Error.New("peer_address: %v", err)
 		}
 	}()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailtack/foxtailtack/internal/result"
+	"github.com/foxtailtack/foxtailtack/internal/wait"
 )
 
 // latencyBuckets cover the SLOs of the deployments, which lie between 0.2 and 2 seconds.
@@ -28,7 +29,7 @@
 	gauge := m.scope.Gauge("log_lines_dropped")
 	for ctx.Err() == nil {
 		gauge.Update(float64(dropped()))
-		pause(ctx, droppedInterval)
+		wait.For(ctx, droppedInterval)
 	}
 }
 
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
+	"github.com/foxtailtack/foxtailtack/internal/wait"
 )
 
 const (
@@ -46,20 +47,20 @@
 // run registers the host and renews its lease until ctx ends, and then takes the entry away.
 func (r *registration) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := renewInterval
+		interval := renewInterval
 		if r.relays() {
-			wait = relayRenewInterval
+			interval = relayRenewInterval
 		}
 		if err := r.step(ctx); err != nil {
 			if ctx.Err() == nil {
 				r.log.Warn().Uint64("lease", uint64(r.lease)).Err(err).Msg("registration_failed")
 			}
 			r.failed(ctx, "register", err)
-			wait = registerBackoff
+			interval = registerBackoff
 		} else {
 			r.answered()
 		}
-		pause(ctx, wait)
+		wait.For(ctx, interval)
 	}
 	r.leave()
 }
@@ -119,10 +120,3 @@
 	err := r.registrar.End(ctx, r.lease)
 	r.log.Info().Uint64("lease", uint64(r.lease)).AnErr("error", err).Msg("unregistered")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -52,7 +52,7 @@
 // longestWait bounds the wait of a call.
 const longestWait = 5 * time.Second
 
-// Serve answers hosts that connect to a listener, until it is closed.
+// Serve answers hosts that connect to a listener, until that fails or is closed. It returns the reason.
 func Serve(listen net.Listener, upstream Upstream) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(serviceName, &service{upstream}); err != nil {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -51,8 +51,6 @@
 	RetryRatio float64 `toml:"retry_ratio" validate:"min=0,max=10"`
 	// RetrySlack is the number of repeats that are allowed besides, over all hosts. Default 0.
 	RetrySlack float64 `toml:"retry_slack" validate:"min=0"`
-	// DrainMs is the time in milliseconds after which a leaving backend server gets no request. Default 2000.
-	DrainMs int `toml:"drain_ms" validate:"min=1,max=600000"`
 }
 
 // StopGrace returns the time from SIGTERM to SIGKILL.
@@ -70,7 +68,6 @@
 	defaultStopGraceMs = 6000
 	defaultLookupTTLMs = 5000
 	defaultRetryRatio  = 0.2
-	defaultDrainMs     = 2000
 )
 
 // LoadGateway reads and checks a settings file. The error names the file and, where known, line and key.
@@ -89,7 +86,7 @@
 // ParseGateway reads and checks the settings of a gateway.
 func ParseGateway(text []byte) (*Gateway, error) {
 	g := &Gateway{
-		Bounds: GatewayBounds{StopGraceMs: defaultStopGraceMs, LookupTTLMs: defaultLookupTTLMs, RetryRatio: defaultRetryRatio, DrainMs: defaultDrainMs},
+		Bounds: GatewayBounds{StopGraceMs: defaultStopGraceMs, LookupTTLMs: defaultLookupTTLMs, RetryRatio: defaultRetryRatio},
 		Log:    Log{Level: defaultLogLevel, TraceSample: defaultTraceSample},
 	}
 	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(g); err != nil {
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -27,7 +27,6 @@
 lookup_ttl_ms = 5000
 retry_ratio = 0.2
 retry_slack = 60
-drain_ms = 2500
 `
 
 // A wrong value must end the start with one message that names the key, or the process runs with a bound that nobody set.
