--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -58,8 +58,8 @@
 	Attempts int
 	// Sticky is true if a backend server works faster on objects that it has handled recently.
 	Sticky bool
-	// HomeRegions are the only regions in which the route may run; empty means all.
-	HomeRegions []string
+	// Homes are the only regions in which the route may run; empty means all.
+	Homes []string
 	// Targets are the services that share the route's requests.
 	Targets []Target
 }
@@ -73,7 +73,7 @@
 
 // AllowedIn reports whether the route may run in a region.
 func (r *Route) AllowedIn(region string) bool {
-	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
 }
 
 // Service is what the configuration says of a service.
--- a/internal/placement/parts_test.go
+++ b/internal/placement/parts_test.go
@@ -179,7 +179,7 @@
 	servers[0].Draining = true
 	servers[1].FailureDomain = "b"
 	table.view.Evacuated = map[string]bool{}
-	route := &catalog.Route{SLO: time.Second, HomeRegions: []string{"r"}}
+	route := &catalog.Route{SLO: time.Second, Homes: []string{"r"}}
 	r := &Request{Route: route, Service: "s", Object: "o", Deadline: t0.Add(time.Minute), Excluded: []string{servers[2].ID}}
 	if d := table.Choose(r, t0); d.Server != servers[3] {
 		t.Fatalf("chose %+v, want the only allowed server", d.Server)
