--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,45 +36,43 @@
 	g.mu.Unlock()
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(answerMargin))
 	defer cancel()
-	var kept *answer
-	unsent := 0
 	for {
 		decision, failure := req.place()
 		if failure != nil {
-			return req.end(kept, failure)
+			return req.end(failure)
 		}
 		res := req.attempt(ctx, &decision)
-		verdict := judge(req, &res, g.dialect)
-		g.logAttempt(req, &decision, &res, verdict)
-		if verdict.answer != nil && !verdict.again {
-			return verdict.answer, nil
+		v := judge(req, &res, g.dialect)
+		g.logAttempt(req, &decision, &res, v)
+		if v.answer != nil {
+			req.kept = v.answer
 		}
-		if verdict.answer != nil {
-			kept = verdict.answer
+		if v.failure != nil || v.again {
+			req.tried = append(req.tried, decision.Server.ID)
 		}
-		failure = verdict.failure
-		req.tried = append(req.tried, decision.Server.ID)
-		if ctx.Err() != nil || !verdict.again {
-			return req.end(kept, failure)
-		}
-		if verdict.sent {
-			req.attempts++
-			if req.attempts >= req.route.Attempts || !req.spendRetry() {
-				return req.end(kept, failure)
-			}
-		} else if unsent++; unsent > unsentTries {
-			return req.end(kept, failure)
+		if ctx.Err() != nil || !v.again || !req.mayTryAgain(v) {
+			return req.end(v.failure)
 		}
 	}
 }
 
-// end returns an answer that was kept, even if it is a failure of the server, or the failure. After an attempt that may have
-// run, a refusal would be a false promise.
-func (req *request) end(kept *answer, failure *result.Failure) (*answer, *result.Failure) {
+// mayTryAgain reports whether another server may get the request after an attempt that failed.
+func (req *request) mayTryAgain(v verdict) bool {
+	if !v.sent {
+		req.unsent++
+		return req.unsent <= unsentTries
+	}
+	req.sent++
+	return req.sent < req.route.Attempts && req.spendRetry()
+}
+
+// end returns the answer of a server, even if it is a failure of the server, or else the failure. After an attempt that may
+// have run, a refusal would be a false promise.
+func (req *request) end(failure *result.Failure) (*answer, *result.Failure) {
 	switch {
-	case kept != nil:
-		return kept, nil
-	case failure != nil && failure.Code.NotRun() && req.mayHaveRun:
+	case req.kept != nil:
+		return req.kept, nil
+	case failure.Code.NotRun() && req.mayHaveRun:
 		return nil, result.Fail(result.ConnectionLost, "an earlier attempt may have run; then: %s", failure.Message)
 	default:
 		return nil, failure
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -44,9 +44,13 @@
 	body     []byte
 	span     trace.Span
 
-	// tried lists the servers that the request was offered to.
-	tried    []string
-	attempts int
+	// tried lists the servers on which an attempt failed.
+	tried []string
+	// sent and unsent count the failed attempts that may have reached a server, and those that did not.
+	sent   int
+	unsent int
+	// kept is the latest answer of a server.
+	kept *answer
 	// last is the latest decision.
 	last placement.Decision
 	// mayHaveRun is true once an attempt ended without an answer or a promise.
