Bound what placement remembers of objects and routes

Cause: each object that a server answered was kept for ever, on routes that are not sticky one for each request.

--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -62,7 +62,9 @@
 func (t *Table) observeRun(s *server, r *Request, d *Decision, o *Observation, now time.Time) {
 	run := max(time.Millisecond, o.Took-t.roundTrip(d.Server.FailureDomain)-o.Connect).Seconds()
 	wasWarm := s.isWarm(r.Object, now)
-	s.objects[r.Object] = now
+	if r.Route.Sticky {
+		s.remember(r.Object, now)
+	}
 	if d.Load+1 > float64(s.entry.Slots) {
 		// The time in the queue is not known, so the answer tells nothing about the server's speed.
 		return
--- a/internal/placement/parts_test.go
+++ b/internal/placement/parts_test.go
@@ -228,3 +228,24 @@
 		t.Fatalf("bias %v after a loss, want none", got)
 	}
 }
+
+// A host that runs for weeks sees millions of objects, and on routes that are not sticky each request is one of its own.
+func TestMemoryOfObjectsIsBounded(t *testing.T) {
+	table, servers := tableOf(1)
+	s := table.state(servers[0])
+	for _, sticky := range []bool{true, false} {
+		route := &catalog.Route{SLO: time.Second, Sticky: sticky}
+		for i := range 3 * mostObjects {
+			now := t0.Add(time.Duration(i) * time.Millisecond)
+			r := &Request{Route: route, Service: "s", Object: fmt.Sprint(sticky, i), Deadline: now.Add(time.Minute)}
+			d := table.Choose(r, now)
+			if !table.Started(&d, now) {
+				t.Fatal("not started")
+			}
+			table.Ended(&d, r, &Observation{Took: time.Millisecond, Answered: true}, now)
+		}
+		if len(s.objects) > mostObjects {
+			t.Fatalf("sticky %v: %d objects are remembered, want %d at most", sticky, len(s.objects), mostObjects)
+		}
+	}
+}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -8,6 +8,9 @@
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
 )
 
+// mostRoutes bounds the routes whose times are kept, those of earlier configurations included.
+const mostRoutes = 10_000
+
 // roundTripRise is the number of observations after which a round trip that grew is believed to have doubled.
 const roundTripRise = 16
 
@@ -64,6 +67,20 @@
 	coldShare = 0.95
 )
 
+// mostObjects bounds the objects that are remembered for a server; servers keep far fewer warm.
+const mostObjects = 4096
+
+// remember notes that the server has handled an object. A full memory forgets what has become cold, or else everything.
+func (s *server) remember(object string, now time.Time) {
+	if len(s.objects) >= mostObjects {
+		maps.DeleteFunc(s.objects, func(_ string, at time.Time) bool { return now.Sub(at) >= objectTTL })
+	}
+	if len(s.objects) >= mostObjects {
+		clear(s.objects)
+	}
+	s.objects[object] = now
+}
+
 // routeTimes holds the times that backend servers need for a route, in seconds.
 type routeTimes struct {
 	// warm is for objects that the server handled recently, cold for others.
@@ -101,6 +118,10 @@
 		}
 		t.servers[key] = &server{entry: entry, objects: map[string]time.Time{}}
 	}
+	if len(t.routes) > mostRoutes {
+		clear(t.routes)
+		clear(t.splits)
+	}
 	maps.DeleteFunc(t.servers, func(key serverKey, s *server) bool { return !known[key] && s.load.own == 0 })
 }
 
