--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -28,7 +28,10 @@
 )
 
 // regressions are seeds that failed once, each with its cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	101, // A host's port was taken by a connection of another run; hosts have IP addresses of their own since.
+	125, // The same after a restart of the host.
+}
 
 // TestSoak guards the promises that callers and backend servers rely on while processes, connections and the store fail in
 // overlapping series: nothing that must not be repeated runs twice, "not run" is true, answers belong to their requests,
@@ -39,7 +42,10 @@
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { soak(t, seed) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed)
+		})
 	}
 }
 
