Try the store as soon as any call shows that it is back

Ruled out: the watch that waits; it had ended with the first failed renewal. The test failed before the change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,6 +141,7 @@
 }
 
 func (g *Gateway) storeAnswered() {
+	g.source.StoreAnswered()
 	if g.source.Direct() {
 		g.follower.CallAnswered()
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -161,6 +161,22 @@
 	}
 }
 
+// After an outage the store is tried as soon as any call shows that it is back. A host that waited for the time of its next try
+// served an old configuration after its bound (kahva-coop, trouble-3, seed 1089307525498).
+func TestAnsweredCallEndsTheWaitForTheStore(t *testing.T) {
+	store := &fakeStore{err: errors.New("silent")}
+	view := &catalog.View{Configuration: &catalog.Configuration{Version: 3}}
+	s := NewSource(store, &catalog.Host{ID: "me"}, nil, func() *catalog.View { return view }, zerolog.Nop())
+	if _, err := s.List(context.Background()); err == nil {
+		t.Fatal("a silent store counted as read")
+	}
+	store.err = nil
+	s.StoreAnswered()
+	if batch, err := s.List(context.Background()); err != nil || batch.Revision != 7 {
+		t.Fatalf("got %+v, %v, want the store's answer", batch, err)
+	}
+}
+
 // What a relay has compacted must be read anew instead of waiting for it.
 func TestCompactedRelayIsTold(t *testing.T) {
 	view, self := large(serve(t, &upstream{err: catalog.ErrCompacted}))
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -170,6 +170,14 @@
 	return list[:min(fallbackHosts, len(list))]
 }
 
+// StoreAnswered tells of an answer of the store to another call of this process, so that the next listing goes to the store
+// without waiting for the time of the next try.
+func (s *Source) StoreAnswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeFailed = time.Time{}
+}
+
 // Relays reports whether other hosts follow this one.
 func (s *Source) Relays() bool {
 	return s.Direct() && len(s.view().Hosts) > directHosts
