--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -73,9 +73,9 @@
 
 // freeAddress returns an address whose port is free now. Each host of each run of the soak has a loopback IP address of its
 // own, or the port may be taken by a connection of another process before the host listens on it.
-func freeAddress(t *testing.T, number int) netip.AddrPort {
+func freeAddress(t *testing.T, run, number int) netip.AddrPort {
 	t.Helper()
-	ip := netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(os.Getpid() / 128 % 256), byte(10 + number)})
+	ip := netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(os.Getpid()/128 + run), byte(10 + number)})
 	listen, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
 		t.Fatal(err)
@@ -87,7 +87,7 @@
 func (d *deployment) newHost(i int) *host {
 	t := d.t
 	domain := fmt.Sprintf("d%d", i%2)
-	h := &host{name: fmt.Sprintf("h%d", i), caller: freeAddress(t, i), ready: freeAddress(t, i), store: network.New(openLink)}
+	h := &host{name: fmt.Sprintf("h%d", i), caller: freeAddress(t, d.run, i), ready: freeAddress(t, d.run, i), store: network.New(openLink)}
 	t.Cleanup(h.store.Close)
 	store, err := h.store.Listen(netip.MustParseAddrPort("127.0.0.1:0"), d.storeAddress, netip.Addr{})
 	if err != nil {
@@ -96,8 +96,8 @@
 	var text bytes.Buffer
 	fmt.Fprintf(&text, "host_id = %q\nfailure_domain = %q\nregion = \"r\"\n", h.name, domain)
 	for key, address := range map[string]string{
-		"caller_address": h.caller.String(), "ready_address": h.ready.String(), "lookup_address": freeAddress(t, i).String(),
-		"peer_address": freeAddress(t, i).String(), "admin_address": freeAddress(t, i).String(), "store_address": store.String(),
+		"caller_address": h.caller.String(), "ready_address": h.ready.String(), "lookup_address": freeAddress(t, d.run, i).String(),
+		"peer_address": freeAddress(t, d.run, i).String(), "admin_address": freeAddress(t, d.run, i).String(), "store_address": store.String(),
 	} {
 		fmt.Fprintf(&text, "%s = %q\n", key, address)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -49,9 +49,14 @@
 	}
 }
 
+// runs counts the runs of this process.
+var runs atomic.Int64
+
 // deployment is a run of the soak.
 type deployment struct {
-	t            *testing.T
+	t *testing.T
+	// run numbers the runs of this process, each of which has IP addresses of its own.
+	run          int
 	dir          string
 	rng          *rand.Rand
 	kv           *kvstore.Store
@@ -74,7 +79,7 @@
 }
 
 func soak(t *testing.T, seed uint64) {
-	d := &deployment{t: t, dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, 7)), kv: kvstore.New(), ledger: &ledger{runs: map[string][]run{}}, calmSince: time.Now(), failures: make(chan string, 1000)}
+	d := &deployment{t: t, run: int(runs.Add(1)), dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, 7)), kv: kvstore.New(), ledger: &ledger{runs: map[string][]run{}}, calmSince: time.Now(), failures: make(chan string, 1000)}
 	if *keep != "" {
 		d.dir = fmt.Sprintf("%s/seed-%d", *keep, seed)
 		if err := os.MkdirAll(d.dir, 0o700); err != nil {
