--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -166,7 +166,9 @@
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	last := s.lastFollowed()
-	slices.SortStableFunc(list, func(a, b target) int { return compareBool(b.id == last, a.id == last) })
+	if i := slices.IndexFunc(list, func(t target) bool { return t.id == last }); i > 0 {
+		list[0], list[i] = list[i], list[0]
+	}
 	return list[:min(fallbackHosts, len(list))]
 }
 
@@ -183,18 +185,6 @@
 	return s.Direct() && len(s.view().Hosts) > directHosts
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
-
 func (s *Source) lastFollowed() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -190,7 +190,7 @@
 	running chan struct{}
 
 	mu sync.Mutex
-	// left is the time at which the store acknowledged that the server leaves, and excused says that the bound does not hold.
+	// left is the time at which the store acknowledged that the server leaves, zero while it stays.
 	left     time.Time
 	sequence int
 	misses   []string
