End a listing without an answer when another call shows that the store is back

A change was in force 2.9 s after its acknowledgement on a host whose listing had been sent to a silent store: the listing kept its timeout of 2 s and the follower a pause of up to 1.5 s. A poll of another host that this host ends itself no longer counts as a failure of that host.

TestAnswerEndsAListingWithoutAnswer hung before.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -44,8 +44,11 @@
 	// confirmedAt is the time of the latest answer.
 	confirmedAt time.Time
 	history     history
-	// cut ends the watch that waits, nil if there is none.
-	cut context.CancelFunc
+	// cut ends the listing, pause or watch that runs, nil before the first; watching says that it is a watch.
+	cut      context.CancelFunc
+	watching bool
+	// retried is true from an answer that ended a listing until the next failed call.
+	retried bool
 }
 
 // NewFollower returns a follower with an empty view.
@@ -77,33 +80,40 @@
 	go f.expireLoop(ctx)
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		batch, err := f.store.List(ctx)
-		if err == nil && batch.Revision < f.revision() {
-			err = Error.New("the answer has revision %d, older than %d", batch.Revision, f.revision())
-		}
-		if err != nil {
-			f.failed(ctx, "list", err)
-			backoff = pauseBackoff(ctx, backoff)
-			continue
-		}
-		backoff = firstBackoff
-		f.answered(batch.Age)
-		f.change(func(now time.Time) []Effect { return f.state.Resync(batch.Changes, batch.Revision, now) }, nil)
-		f.watch(ctx, batch.Revision)
+		backoff = f.round(ctx, backoff)
+	}
+}
+
+// round reads everything and follows the changes until a call fails. It returns the backoff for the next round.
+func (f *Follower) round(ctx context.Context, backoff time.Duration) time.Duration {
+	round, cut := context.WithCancel(ctx)
+	defer cut()
+	f.mu.Lock()
+	f.cut, f.watching = cut, false
+	f.mu.Unlock()
+	batch, err := f.store.List(round)
+	if err == nil && batch.Revision < f.revision() {
+		err = Error.New("the answer has revision %d, older than %d", batch.Revision, f.revision())
+	}
+	if err != nil {
+		f.failed(ctx, "list", err)
+		return pauseBackoff(round, backoff)
 	}
+	f.answered(batch.Age)
+	f.change(func(now time.Time) []Effect { return f.state.Resync(batch.Changes, batch.Revision, now) }, nil)
+	f.watch(round, batch.Revision)
+	return firstBackoff
 }
 
 // watch follows the changes after a revision until a watch fails or the store has lost that part of its history. After a
 // watch that was cut, everything is read anew: the store may drop its history at that moment, and a watch that begins before
 // would wait without hearing of the changes in between.
 func (f *Follower) watch(ctx context.Context, at Revision) {
-	watching, cut := context.WithCancel(ctx)
-	defer cut()
 	f.mu.Lock()
-	f.cut = cut
+	f.watching = true
 	f.mu.Unlock()
 	for ctx.Err() == nil {
-		batch, err := f.store.Watch(watching, at, watchWait)
+		batch, err := f.store.Watch(ctx, at, watchWait)
 		if errors.Is(err, ErrCompacted) {
 			f.log.Info().Uint64("revision", uint64(at)).Msg("store_history_compacted")
 			return
@@ -127,13 +137,15 @@
 	f.failed(ctx, call, err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cut != nil {
+	f.retried = false
+	if f.watching {
 		f.cut()
 	}
 }
 
-// CallAnswered tells of an answer to a call of another part. If the store was away, the watch that waits may never hear of
-// what changed meanwhile, so everything is read anew.
+// CallAnswered tells of an answer to a call of another part. If the store was away, a watch or listing that it was sent may never
+// be answered, so everything is read anew at once. The answers that follow leave the listing alone, which is slower than they
+// are.
 func (f *Follower) CallAnswered() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -141,7 +153,8 @@
 		f.confirmedAt = f.now()
 		return
 	}
-	if f.cut != nil {
+	if f.cut != nil && !f.retried {
+		f.retried = true
 		f.cut()
 	}
 }
--- a/internal/catalog/follow_test.go
+++ b/internal/catalog/follow_test.go
@@ -18,12 +18,22 @@
 	at      Revision
 	// watch runs for each watch.
 	watch func(ctx context.Context, after Revision) (Batch, error)
+	// silent is the number of the listing that gets no answer, and asked is closed when it is made.
+	silent int
+	asked  chan struct{}
 }
 
-func (s *fakeStore) List(context.Context) (Batch, error) {
+func (s *fakeStore) List(ctx context.Context) (Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
+	if s.lists == s.silent {
+		close(s.asked)
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return Batch{}, ctx.Err()
+	}
 	return Batch{Changes: []Change{{Revision: s.at, Configuration: &Configuration{Version: s.version}}}, Revision: s.at}, nil
 }
 
@@ -101,6 +111,49 @@
 	waitVersion(t, f, 2)
 }
 
+// A listing that was sent to a silent store is never answered. When another call shows that the store is back, waiting for its
+// timeout would keep an old configuration in force.
+func TestAnswerEndsAListingWithoutAnswer(t *testing.T) {
+	store := &fakeStore{version: 1, at: 1, silent: 2, asked: make(chan struct{})}
+	store.watch = func(ctx context.Context, _ Revision) (Batch, error) {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	f := run(t, store)
+	waitVersion(t, f, 1)
+	f.CallFailed(context.Background(), "renew", errors.New("timeout"))
+	<-store.asked
+	store.put(2)
+	f.CallAnswered()
+	waitVersion(t, f, 2)
+}
+
+// A store that is slow answers renewals before a listing has ended. Ending each listing would leave a host without news.
+func TestAnswersLetASlowListingEnd(t *testing.T) {
+	store := &fakeStore{version: 1, at: 1, silent: 2, asked: make(chan struct{})}
+	again := make(chan struct{})
+	store.watch = func(ctx context.Context, _ Revision) (Batch, error) {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	f := run(t, store)
+	waitVersion(t, f, 1)
+	f.CallFailed(context.Background(), "renew", errors.New("timeout"))
+	<-store.asked
+	store.mu.Lock()
+	store.silent, store.asked = 3, again
+	store.mu.Unlock()
+	f.CallAnswered()
+	<-again
+	f.CallAnswered()
+	time.Sleep(100 * time.Millisecond)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if store.lists != 3 {
+		t.Fatalf("%d listings, want 3: the second answer must not end the listing that runs", store.lists)
+	}
+}
+
 // Compacted history ends the watch, and the listing brings what was missed.
 func TestCompactedHistoryReadsEverythingAnew(t *testing.T) {
 	store := &fakeStore{version: 1, at: 1}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -239,14 +239,17 @@
 	return time.Since(s.failed[id]) < failedFor
 }
 
-// ask makes one call to another host.
+// ask makes one call to another host. A call that this host ended itself says nothing of the other one.
 func (s *Source) ask(ctx context.Context, id string, address netip.AddrPort, args WatchArgs, timeout time.Duration) (catalog.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply WatchReply
-	err := s.call(ctx, address, args, &reply)
+	err := s.call(bounded, address, args, &reply)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err != nil && ctx.Err() != nil {
+		return catalog.Batch{}, err
+	}
 	if err != nil {
 		s.failed[id] = time.Now()
 		if c := s.clients[address]; c != nil {
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -63,6 +63,9 @@
 // Terminate asks the process to stop.
 func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
 
+// Dump has the process write the stacks of its goroutines to its log and end.
+func (p *Process) Dump() error { return p.cmd.Process.Signal(syscall.SIGQUIT) }
+
 // Wait returns the exit error, or an error if the process does not end in time.
 func (p *Process) Wait(timeout time.Duration) error {
 	select {
--- a/test/system/deployment_test.go
+++ b/test/system/deployment_test.go
@@ -26,6 +26,8 @@
 	// patience bounds every wait for a state. It is far longer than any wait takes on an idle machine.
 	patience  = 60 * time.Second
 	pollEvery = 25 * time.Millisecond
+	// dumpTime bounds the writing of some hundred stacks to a file.
+	dumpTime = 5 * time.Second
 )
 
 // Hosts of the deployment. The first two share a failure domain.
@@ -115,12 +117,23 @@
 	return d
 }
 
-// end stops the processes and shows the warnings of the entry hosts if the test failed.
+// end stops the processes. If the test failed, it shows the log of each entry host with the stacks of its goroutines, since a
+// host that stands still logs nothing.
 func (d *deployment) end() {
-	d.Stop()
 	if !d.t.Failed() {
+		d.Stop()
 		return
 	}
+	for id, host := range d.Hosts {
+		if !host.Running() {
+			continue
+		}
+		if err := host.Dump(); err != nil {
+			d.t.Log(id, err)
+		}
+		d.t.Log(id, "ended to show its goroutines:", host.Wait(dumpTime))
+	}
+	d.Stop()
 	for _, id := range allHosts {
 		text, _ := os.ReadFile(filepath.Join(d.Options.Dir, id+".log"))
 		for line := range strings.Lines(string(text)) {
