Read the controllers before the cluster is locked in /healthz

Cause: a question about the health held the lock of the cluster and waited for that of the capacity, while a policy that came into force held the capacity and waited for the cluster. Ruled out: the store's client (the version was in force by /healthz), membership and the log writer. TestHealthWhileAPolicyComesIntoForce stood still before.

--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -22,6 +22,7 @@
 	registry *backend.Registry
 	unranked bool
 
+	// mu is locked before the lock of the cluster, never while that one is held.
 	mu          sync.RWMutex
 	controllers map[string]*admission.Controller
 }
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -57,12 +57,14 @@
 	}
 	h.PeerBytesSent, h.PeerBytesReceived = e.peers.Bytes()
 	h.AcceptedBytesSent, h.AcceptedBytesReceived = e.peerServer.Bytes()
+	// Controllers lock the cluster while the capacity is locked, so the capacity is read first.
+	controllers := e.capacity.all()
 	e.cluster.mu.Lock()
 	defer e.cluster.mu.Unlock()
 	h.State = stateNames[e.cluster.stateNow(now)]
 	// A host is ready when look-ups that it answers name it.
 	h.Ready = e.cluster.tracker.Ready(now) && e.cluster.said != membership.Joining
-	for name := range e.capacity.all() {
+	for name := range controllers {
 		h.SlotsUsable[name] = e.cluster.tracker.Usable(name, now)
 		h.SlotsInUse[name] = e.cluster.tracker.InUse(name)
 	}
--- /dev/null
+++ b/internal/entry/health_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/foxtailtack/foxtailtack/internal/backend"
+	"github.com/foxtailtack/foxtailtack/internal/config"
+	"github.com/foxtailtack/foxtailtack/internal/peer"
+	"github.com/foxtailtack/foxtailtack/internal/settings"
+)
+
+// A question about the health while a new policy adds a service locked the capacity and the cluster in the opposite order, and the
+// host stood still for ever.
+func TestHealthWhileAPolicyComesIntoForce(t *testing.T) {
+	now := time.Now()
+	snapshot := twoDomains(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &Entry{settings: &settings.Settings{}, config: config.NewManager(nil, nil, zerolog.Nop()), peers: peer.NewClient(netip.Addr{}, nil)}
+	if e.peerServer, err = peer.NewServer(listener, peerHandler{e}); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = e.peerServer.Close() }()
+	e.cluster = newCluster("a1", "a", defaultSlotOptions(), rand.New(rand.NewPCG(1, 1)), now)
+	e.registry = backend.NewRegistry(backend.RegistryOptions{Seed: 1})
+
+	const rounds = 2000
+	configured := make(chan struct{})
+	e.capacity = newCapacity(e.cluster, e.registry, false)
+	go func() {
+		defer close(configured)
+		for range rounds {
+			e.capacity.mu.Lock()
+			clear(e.capacity.controllers)
+			e.capacity.mu.Unlock()
+			e.capacity.configure(snapshot)
+		}
+	}()
+	stopped := time.After(30 * time.Second)
+	for {
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			e.health(now)
+		}()
+		select {
+		case <-configured:
+			return
+		case <-answered:
+		case <-stopped:
+			t.Fatal("the host stands still")
+		}
+	}
+}
