Keep the logs of a failed seed of the soak, and hold its ports until all are chosen

The last failure of the soak was not kept. A port could be chosen twice for one host, since each listener was closed before the next was opened.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -71,23 +71,32 @@
 	log     *os.File
 }
 
-// freeAddress returns an address whose port is free now. Each host of each run of the soak has a loopback IP address of its
-// own, or the port may be taken by a connection of another process before the host listens on it.
-func freeAddress(t *testing.T, run, number int) netip.AddrPort {
+// listenerNames are the settings of the addresses that a host listens on.
+var listenerNames = []string{"caller_address", "ready_address", "lookup_address", "peer_address", "admin_address"}
+
+// freeAddresses returns addresses whose ports are free now. Each host of each run of the soak has a loopback IP address of its
+// own, or a port may be taken by a connection of another process before the host listens on it. All listeners stay open until
+// the last port is chosen, so that no port is chosen twice.
+func freeAddresses(t *testing.T, run, number int) map[string]netip.AddrPort {
 	t.Helper()
 	ip := netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(os.Getpid()/128 + run), byte(10 + number)})
-	listen, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
-	if err != nil {
-		t.Fatal(err)
+	addresses := map[string]netip.AddrPort{}
+	for _, name := range listenerNames {
+		listen, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listen.Close() }()
+		addresses[name] = listen.Addr().(*net.TCPAddr).AddrPort()
 	}
-	defer func() { _ = listen.Close() }()
-	return listen.Addr().(*net.TCPAddr).AddrPort()
+	return addresses
 }
 
 func (d *deployment) newHost(i int) *host {
 	t := d.t
 	domain := fmt.Sprintf("d%d", i%2)
-	h := &host{name: fmt.Sprintf("h%d", i), caller: freeAddress(t, d.run, i), ready: freeAddress(t, d.run, i), store: network.New(openLink)}
+	addresses := freeAddresses(t, d.run, i)
+	h := &host{name: fmt.Sprintf("h%d", i), caller: addresses["caller_address"], ready: addresses["ready_address"], store: network.New(openLink)}
 	t.Cleanup(h.store.Close)
 	store, err := h.store.Listen(netip.MustParseAddrPort("127.0.0.1:0"), d.storeAddress, netip.Addr{})
 	if err != nil {
@@ -95,10 +104,8 @@
 	}
 	var text bytes.Buffer
 	fmt.Fprintf(&text, "host_id = %q\nfailure_domain = %q\nregion = \"r\"\n", h.name, domain)
-	for key, address := range map[string]string{
-		"caller_address": h.caller.String(), "ready_address": h.ready.String(), "lookup_address": freeAddress(t, d.run, i).String(),
-		"peer_address": freeAddress(t, d.run, i).String(), "admin_address": freeAddress(t, d.run, i).String(), "store_address": store.String(),
-	} {
+	fmt.Fprintf(&text, "store_address = %q\n", store)
+	for key, address := range addresses {
 		fmt.Fprintf(&text, "%s = %q\n", key, address)
 	}
 	fmt.Fprintf(&text, "[failure_domains]\nd0 = \"r\"\nd1 = \"r\"\n[bounds]\nstop_grace_ms = %d\nretry_slack = 60.0\n", stopGrace.Milliseconds())
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,7 +24,7 @@
 	firstSeed = flag.Uint64("soak.seed", 1, "first seed of the soak")
 	seedCount = flag.Int("soak.seeds", 1, "number of seeds of the soak")
 	duration  = flag.Duration("soak.duration", 8*time.Second, "length of the faults of one seed")
-	keep      = flag.String("soak.keep", "", "folder that keeps settings and logs; empty removes them")
+	keep      = flag.String("soak.keep", "", "folder that keeps settings and logs; empty keeps those of a failed seed only")
 )
 
 // regressions are seeds that failed once, each with its cause.
@@ -79,13 +79,7 @@
 }
 
 func soak(t *testing.T, seed uint64) {
-	d := &deployment{t: t, run: int(runs.Add(1)), dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, 7)), kv: kvstore.New(), ledger: &ledger{runs: map[string][]run{}}, calmSince: time.Now(), failures: make(chan string, 1000)}
-	if *keep != "" {
-		d.dir = fmt.Sprintf("%s/seed-%d", *keep, seed)
-		if err := os.MkdirAll(d.dir, 0o700); err != nil {
-			t.Fatal(err)
-		}
-	}
+	d := &deployment{t: t, run: int(runs.Add(1)), dir: logFolder(t, seed), rng: rand.New(rand.NewPCG(seed, 7)), kv: kvstore.New(), ledger: &ledger{runs: map[string][]run{}}, calmSince: time.Now(), failures: make(chan string, 1000)}
 	store := httptest.NewServer(d.kv)
 	t.Cleanup(func() {
 		d.kv.SetFault(kvstore.None)
@@ -119,6 +113,23 @@
 	d.report()
 }
 
+// logFolder makes the folder for settings and logs of a seed. Those of a seed that failed stay, since it may not fail again.
+func logFolder(t *testing.T, seed uint64) string {
+	folder, err := os.MkdirTemp(*keep, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		switch {
+		case t.Failed():
+			t.Log("settings and logs are kept in", folder)
+		case *keep == "":
+			_ = os.RemoveAll(folder)
+		}
+	})
+	return folder
+}
+
 // configure writes the next configuration. It has a route that no other version has.
 func (d *deployment) configure() int {
 	d.mu.Lock()
