--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -216,7 +218,8 @@
 
 // load makes requests of a route at all hosts of the regions, a number a second and region, for a time.
 func (r *replay) load(route int, perSecond map[string]float64, from, length time.Duration) {
-	for region, rate := range perSecond {
+	for _, region := range slices.Sorted(maps.Keys(perSecond)) {
+		rate := perSecond[region]
 		for at := from; at < from+length; {
 			at += time.Duration(r.rng.ExpFloat64() / rate * float64(time.Second))
 			h := r.hosts[r.rng.IntN(len(r.hosts))]
