End the belief in full servers when no report renews it

Cause, found by a replay: a host that saw all servers full rejected all work from then on, because only answers to new work would have shown it that they were idle; reports were 20 s old. The average work at the servers of a service and region is now believed for 4 s without a report and fades over the next 4 s, and work that need not wait is not rejected for its expected time.

The simulated servers report requests that they do not run, which they dropped without an answer before.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -95,12 +95,16 @@
 			best = option
 		}
 	}
-	if best.Server != nil && t.knows(r) && now.Add(best.Expected).After(r.Deadline) {
+	if best.Server != nil && best.waits() && t.knows(r) && now.Add(best.Expected).After(r.Deadline) {
 		return Decision{Reason: TooLate, Expected: best.Expected, Usable: len(usable)}
 	}
 	return best
 }
 
+// waits reports whether the request would wait for a slot. A request that would not is never rejected for its expected time: it
+// takes no slot from another, and a host that has learned too long times would reject all work and learn nothing more.
+func (d *Decision) waits() bool { return d.Load+1 > float64(d.Server.Slots) }
+
 // knows reports whether enough answers were seen to reject a request because of the time that it would take.
 func (t *Table) knows(r *Request) bool { return t.times(r.Route, r.Service).warm.count >= leastAnswers }
 
@@ -178,7 +182,7 @@
 			return Decision{}, ColdLimit
 		}
 	}
-	estimate := s.load.estimate(t.usualLoad(entry), now)
+	estimate := s.load.estimate(t.usualLoad(entry, now), now)
 	if estimate+1 > t.roomFor(r.Route.Rank, entry.Slots) {
 		return Decision{}, NoRoom
 	}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -10,6 +10,11 @@
 	// averageFade is the age of the latest report at which the average of a server counts no more than that of its service in
 	// the region: a server that got no request since it was busy would else look busy for ever.
 	averageFade = 2 * time.Second
+	// usualHold is the time without any report up to which the average work at the servers of a service and region is believed;
+	// after twice that time the servers are taken to be idle. A host that takes all servers to be full rejects all work, and
+	// only the answers to new work could show it that they are not. It is a few times the timeouts of requests, after which the
+	// answers to the latest ones are in.
+	usualHold = 4 * time.Second
 	// slownessFade is the time constant with which the slowness of a server that gets no requests is forgotten.
 	slownessFade = 3 * time.Second
 	// smoothing is the weight of the latest answer in averages of service times and of the work of other hosts.
@@ -51,6 +56,21 @@
 	return float64(l.own) + l.others + fade(age, reportFade)*(average-l.others)
 }
 
+// usual is the average work of other hosts for each slot of the servers of a service in a region.
+type usual struct {
+	mean
+	reported time.Time
+}
+
+func (u *usual) report(requestsPerSlot float64, now time.Time) {
+	u.add(requestsPerSlot)
+	u.reported = now
+}
+
+func (u *usual) at(now time.Time) float64 {
+	return u.value * (1 - fade(max(0, now.Sub(u.reported)-usualHold), usualHold))
+}
+
 // fade grows from 0 to 1 while an observation ages.
 func fade(age, full time.Duration) float64 { return min(1, float64(age)/float64(full)) }
 
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -37,7 +37,7 @@
 	s := d.server
 	s.load.own--
 	if o.HasRequests {
-		t.usualFor(d.Server).add(s.load.report(o.Requests, now) / float64(s.entry.Slots))
+		t.usualFor(d.Server).report(s.load.report(o.Requests, now)/float64(s.entry.Slots), now)
 	}
 	if o.Connect > 0 {
 		t.ObserveRoundTrip(d.Server.FailureDomain, o.Connect)
@@ -46,7 +46,7 @@
 		t.observeRun(s, r, d, o, now)
 	}
 	switch {
-	case o.Failed, o.Shed && s.load.estimate(t.usualLoad(d.Server), now) < float64(s.entry.Slots):
+	case o.Failed, o.Shed && s.load.estimate(t.usualLoad(d.Server, now), now) < float64(s.entry.Slots):
 		ejected := s.ejection.failed(now)
 		if ejected {
 			t.drift.disturbed = now
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -147,10 +147,12 @@
 	}
 	oneWay := h.table.roundTrip(d.Server.FailureDomain) / 2
 	r.after(oneWay, func() {
-		r.serve(r.servers[d.Server.ID], req, func(requests int) {
+		r.serve(r.servers[d.Server.ID], req, func(requests int, ran bool) {
 			r.after(oneWay, func() {
-				h.table.Ended(&d, req, &Observation{Took: r.now.Sub(began), Answered: true, Requests: requests, HasRequests: true}, r.now)
+				h.table.Ended(&d, req, &Observation{Took: r.now.Sub(began), Answered: ran, Shed: !ran, Requests: requests, HasRequests: true}, r.now)
 				switch took := r.now.Sub(began); {
+				case !ran:
+					count.rejected++
 				case took <= route.SLO:
 					count.inSLO++
 				default:
@@ -170,8 +172,9 @@
 	return name
 }
 
-// serve runs a request on a server and calls done with the number of requests at the server.
-func (r *replay) serve(s *simServer, req *Request, done func(requests int)) {
+// serve runs a request on a server and calls done with the number of requests at the server. A server with a full queue does not
+// run it.
+func (r *replay) serve(s *simServer, req *Request, done func(requests int, ran bool)) {
 	if r.now.Before(s.entry.ColdUntil) {
 		s.arrivals = append(s.arrivals, r.now)
 		for len(s.arrivals) > 0 && r.now.Sub(s.arrivals[0]) >= time.Second {
@@ -180,9 +183,11 @@
 		r.coldMost = max(r.coldMost, len(s.arrivals))
 	}
 	if s.running >= simSlots {
-		if len(s.queue) < simQueue {
-			s.queue = append(s.queue, func() { r.serve(s, req, done) })
+		if len(s.queue) >= simQueue {
+			done(s.running+len(s.queue), false)
+			return
 		}
+		s.queue = append(s.queue, func() { r.serve(s, req, done) })
 		return
 	}
 	s.running++
@@ -197,7 +202,7 @@
 			s.queue = s.queue[1:]
 			next()
 		}
-		done(s.running + len(s.queue))
+		done(s.running+len(s.queue), true)
 	})
 }
 
@@ -307,6 +312,23 @@
 	}
 }
 
+// More work than cold servers can do makes a host see all servers full. It rejected all work from then on, since only answers to new
+// work could have shown it that the servers had warmed up and were idle: 0.30 of the work was served in its SLO. The bound is the
+// floor of the operators' days of high load.
+func TestReplayHostsSeeThatServersHaveRoomAgain(t *testing.T) {
+	const want = 0.4
+	for seed := range uint64(3) {
+		r := newReplay(seed, even)
+		r.objects, r.kept = 400, 30
+		r.load(2, map[string]float64{"east": 50, "north": 50, "west": 50}, 0, 30*time.Second)
+		r.run()
+		t.Logf("seed %d: %.3f in its SLO, %+v", seed, r.result[1].share(), *r.result[1])
+		if share := r.result[1].share(); share < want {
+			t.Errorf("seed %d: share %.3f in its SLO, want %.2f", seed, share, want)
+		}
+	}
+}
+
 // leave takes the last servers of each region away.
 func (r *replay) leave(count map[string]int) {
 	next := *r.view
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -39,7 +39,7 @@
 	budgets map[string]*retryBudget
 	drift   drift
 	// usual holds the work of other hosts for each slot of a service's servers, by service and region.
-	usual map[string]*mean
+	usual map[string]*usual
 	// roundTrips holds the time to open a connection to each failure domain.
 	roundTrips map[string]time.Duration
 }
@@ -94,7 +94,7 @@
 	return &Table{
 		settings: settings, copies: copyLimits{relief, reuse}, self: self, domain: domain, regions: regions, view: &catalog.View{},
 		servers: map[serverKey]*server{}, routes: map[string]*routeTimes{}, splits: map[string]*splitter{},
-		budgets: map[string]*retryBudget{}, usual: map[string]*mean{}, roundTrips: map[string]time.Duration{},
+		budgets: map[string]*retryBudget{}, usual: map[string]*usual{}, roundTrips: map[string]time.Duration{},
 	}
 }
 
@@ -191,10 +191,10 @@
 // usualLoad returns the average work of other hosts at a server, from the reports of all servers like it. Until the first
 // report, each host of the server's region is assumed to send it as much as this one: at a start all hosts would else fill
 // the same idle servers at once.
-func (t *Table) usualLoad(entry *catalog.ServerEntry) float64 {
-	usual := t.usualFor(entry)
-	if usual.count > 0 {
-		return usual.value * float64(entry.Slots)
+func (t *Table) usualLoad(entry *catalog.ServerEntry, now time.Time) float64 {
+	reports := t.usualFor(entry)
+	if reports.count > 0 {
+		return reports.at(now) * float64(entry.Slots)
 	}
 	others := 0
 	for _, h := range t.view.Hosts {
@@ -205,14 +205,14 @@
 	return float64(others * t.state(entry).load.own)
 }
 
-func (t *Table) usualFor(entry *catalog.ServerEntry) *mean {
+func (t *Table) usualFor(entry *catalog.ServerEntry) *usual {
 	key := entry.Service + " " + t.regions[entry.FailureDomain]
-	m := t.usual[key]
-	if m == nil {
-		m = &mean{}
-		t.usual[key] = m
+	u := t.usual[key]
+	if u == nil {
+		u = &usual{}
+		t.usual[key] = u
 	}
-	return m
+	return u
 }
 
 // lostCapacity reports whether servers or hosts are gone, or servers are not to be used any more or again.
