Send an object's requests to one further server, not three, while its own is busy

Cause: further servers take a busy server's objects in and push others out, so the fleet gets colder as the load rises. TestReplayNearlyFullServersKeepOneCopy replays such a load.

--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// relief is the number of further servers that may take an object's requests when its preferred server is busy.
-	relief = 3
+	// relief is the number of further servers that may take an object's requests when its preferred server is busy. More of
+	// them push other objects out there while the load is high.
+	relief = 1
 	// reuse is the number of requests that are expected to find an object warm after one slow first request. A copy of the
 	// object in the own region pays if it saves more time on the way over that many requests than its first request costs.
 	// Under load copies push each other out: with 10 here, servers of the operators' larger deployments got up to 60 objects
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -329,6 +329,28 @@
 	}
 }
 
+// Servers are nearly full, and one copy of each object fits into what they keep warm, while four do not. Requests that a busy server
+// sent on to three others pushed objects out there, so that more requests met cold objects and the servers stayed full.
+func TestReplayNearlyFullServersKeepOneCopy(t *testing.T) {
+	play := func(seed uint64, limits copyLimits) *served {
+		r := newReplay(seed, even)
+		r.objects, r.kept = 400, 30
+		for _, h := range r.hosts {
+			h.table.copies = limits
+		}
+		r.load(2, map[string]float64{"east": 50, "north": 50, "west": 50}, 0, 30*time.Second)
+		r.run()
+		return r.result[1]
+	}
+	for seed := range uint64(3) {
+		before, now := play(seed, copyLimits{relief: 3, reuse: reuse}), play(seed, copyLimits{relief, reuse})
+		t.Logf("seed %d: %.3f in its SLO, %+v; earlier limits %.3f, %+v", seed, now.share(), *now, before.share(), *before)
+		if now.share() < before.share() {
+			t.Errorf("seed %d: share %.3f in its SLO, want the earlier %.3f at least", seed, now.share(), before.share())
+		}
+	}
+}
+
 // leave takes the last servers of each region away.
 func (r *replay) leave(count map[string]int) {
 	next := *r.view
