Tell the age of news at the end of the wait

Ruled out: the listing that is cut when the store answers again. TestAgeOfNewsIncludesTheWait failed before.

--- a/internal/catalog/follow_test.go
+++ b/internal/catalog/follow_test.go
@@ -196,3 +196,20 @@
 		t.Fatalf("without a change: got %+v, %v", batch, err)
 	}
 }
+
+// News that waited for a change is as old as the store's last answer when it is told. Counting its age from the start of the wait,
+// two hosts that followed each other took their news for fresh for ever, and a configuration came into force 3.4 s late.
+func TestAgeOfNewsIncludesTheWait(t *testing.T) {
+	store := &fakeStore{version: 1, at: 1}
+	store.watch = func(ctx context.Context, _ Revision) (Batch, error) {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	f := run(t, store)
+	waitVersion(t, f, 1)
+	const wait = 50 * time.Millisecond
+	batch, err := f.After(context.Background(), 1, wait)
+	if err != nil || batch.Age < wait {
+		t.Fatalf("got age %v, %v, want %v at least", batch.Age, err, wait)
+	}
+}
--- a/internal/catalog/history.go
+++ b/internal/catalog/history.go
@@ -68,28 +68,33 @@
 func (f *Follower) After(ctx context.Context, revision Revision, wait time.Duration) (Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		f.mu.Lock()
-		now := f.now()
-		changes, kept := f.history.after(revision)
-		batch := Batch{Changes: changes, Revision: max(revision, f.state.revision), Age: f.age(now)}
-		if f.history.grown == nil {
-			f.history.grown = make(chan struct{})
-		}
-		grown := f.history.grown
-		f.mu.Unlock()
-		if !kept {
+	for waited := false; ; {
+		batch, grown, kept := f.newsAfter(revision)
+		switch {
+		case !kept:
 			return Batch{}, ErrCompacted
-		}
-		if len(changes) > 0 {
+		case waited || len(batch.Changes) > 0:
 			return batch, nil
 		}
 		select {
 		case <-grown:
 		case <-timer.C:
-			return batch, nil
+			// The news is told with its age at this moment.
+			waited = true
 		case <-ctx.Done():
 			return Batch{}, ctx.Err()
 		}
 	}
 }
+
+// newsAfter returns what is known now of the changes after a revision, and a channel that is closed at the next change. It is
+// false if the changes are not kept.
+func (f *Follower) newsAfter(revision Revision) (Batch, <-chan struct{}, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changes, kept := f.history.after(revision)
+	if f.history.grown == nil {
+		f.history.grown = make(chan struct{})
+	}
+	return Batch{Changes: changes, Revision: max(revision, f.state.revision), Age: f.age(f.now())}, f.history.grown, kept
+}
