Have a host that the store refuses ask hosts of other failure domains first

The hosts of its own failure domain follow it and know no more than it does; asking them first kept old news in use until it was stale. TestRefusedReaderAsksOtherDomainsFirst failed before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -177,6 +177,20 @@
 	}
 }
 
+// Hosts of the own failure domain follow the reader that the store refuses, so they know no more than it does. Asking them first
+// kept old news in use until it was stale.
+func TestRefusedReaderAsksOtherDomainsFirst(t *testing.T) {
+	view := &catalog.View{Hosts: hosts(directHosts+2, 2)}
+	s := NewSource(&fakeStore{}, view.Hosts["h0"], nil, func() *catalog.View { return view }, zerolog.Nop())
+	for range 50 {
+		for _, target := range s.fallbackTargets(view) {
+			if view.Hosts[target.id].FailureDomain == "d0" {
+				t.Fatalf("host %s of the own failure domain is asked while 13 others are not", target.id)
+			}
+		}
+	}
+}
+
 // What a relay has compacted must be read anew instead of waiting for it.
 func TestCompactedRelayIsTold(t *testing.T) {
 	view, self := large(serve(t, &upstream{err: catalog.ErrCompacted}))
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -165,6 +166,8 @@
 		}
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	// Hosts of the own failure domain may follow this one, and then know no more than it does.
+	slices.SortStableFunc(list, func(a, b target) int { return cmp.Compare(s.isNear(view, a), s.isNear(view, b)) })
 	last := s.lastFollowed()
 	if i := slices.IndexFunc(list, func(t target) bool { return t.id == last }); i > 0 {
 		list[0], list[i] = list[i], list[0]
@@ -172,6 +175,14 @@
 	return list[:min(fallbackHosts, len(list))]
 }
 
+// isNear returns 1 for a host of the own failure domain, otherwise 0.
+func (s *Source) isNear(view *catalog.View, t target) int {
+	if h := view.Hosts[t.id]; h != nil && h.FailureDomain == s.self.FailureDomain {
+		return 1
+	}
+	return 0
+}
+
 // StoreAnswered tells of an answer of the store to another call of this process, so that the next listing goes to the store
 // without waiting for the time of the next try.
 func (s *Source) StoreAnswered() {
