Reject work that has less time than its SLO and cannot be served in it, also on idle servers

A second attempt shortly before the deadline went to an idle server although its answer was known to come too late. Work that has the time of its SLO is still sent, so that a host with too long times learns. TestLongTimesEndOnIdleServers failed for the second half before.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -95,14 +95,16 @@
 			best = option
 		}
 	}
-	if best.Server != nil && best.waits() && t.knows(r) && now.Add(best.Expected).After(r.Deadline) {
+	mustFit := best.Server != nil && (best.waits() || r.Deadline.Sub(now) < r.Route.SLO)
+	if mustFit && t.knows(r) && now.Add(best.Expected).After(r.Deadline) {
 		return Decision{Reason: TooLate, Expected: best.Expected, Usable: len(usable)}
 	}
 	return best
 }
 
-// waits reports whether the request would wait for a slot. A request that would not is never rejected for its expected time: it
-// takes no slot from another, and a host that has learned too long times would reject all work and learn nothing more.
+// waits reports whether the request would wait for a slot. A request that would not, and that has the time of its SLO, is not
+// rejected for its expected time: it takes no slot from another, and a host that has learned too long times would reject all work
+// and learn nothing more.
 func (d *Decision) waits() bool { return d.Load+1 > float64(d.Server.Slots) }
 
 // knows reports whether enough answers were seen to reject a request because of the time that it would take.
--- a/internal/placement/parts_test.go
+++ b/internal/placement/parts_test.go
@@ -229,6 +229,24 @@
 	}
 }
 
+// A host that has learned too long times must send work to an idle server again, or it learns nothing more; but not work that has
+// less time left than its SLO, such as a second attempt shortly before the deadline.
+func TestLongTimesEndOnIdleServers(t *testing.T) {
+	table, _ := tableOf(1)
+	route := &catalog.Route{SLO: time.Second, Sticky: true}
+	for range leastAnswers {
+		table.times(route, "s").warm.add(60, warmShare)
+	}
+	r := &Request{Route: route, Service: "s", Object: "o", Deadline: t0.Add(2 * time.Second)}
+	if d := table.Choose(r, t0); d.Server == nil {
+		t.Fatalf("rejected for %q on an idle server", d.Reason)
+	}
+	r.Deadline = t0.Add(100 * time.Millisecond)
+	if d := table.Choose(r, t0); d.Server != nil || d.Reason != TooLate {
+		t.Fatalf("%+v with 100 ms left, want a rejection", d)
+	}
+}
+
 // A host that runs for weeks sees millions of objects, and on routes that are not sticky each request is one of its own.
 func TestMemoryOfObjectsIsBounded(t *testing.T) {
 	table, servers := tableOf(1)
