--- a/internal/catalog/follow_test.go
+++ b/internal/catalog/follow_test.go
@@ -48,6 +48,12 @@
 	s.at++
 }
 
+// waitForEnd is a watch that hears of no change.
+func waitForEnd(ctx context.Context, _ Revision) (Batch, error) {
+	<-ctx.Done()
+	return Batch{}, ctx.Err()
+}
+
 func run(t *testing.T, store Store) *Follower {
 	t.Helper()
 	f := NewFollower(store, zerolog.Nop())
@@ -86,8 +92,7 @@
 			<-cut
 			return Batch{}, errors.New("connection reset")
 		}
-		<-ctx.Done()
-		return Batch{}, ctx.Err()
+		return waitForEnd(ctx, after)
 	}
 	f := run(t, store)
 	waitVersion(t, f, 1)
@@ -99,10 +104,7 @@
 // A watch that waits does not end when the store goes away and returns; only other calls show it.
 func TestAnswerAfterFailedCallsReadsEverythingAnew(t *testing.T) {
 	store := &fakeStore{version: 1, at: 1}
-	store.watch = func(ctx context.Context, _ Revision) (Batch, error) {
-		<-ctx.Done()
-		return Batch{}, ctx.Err()
-	}
+	store.watch = waitForEnd
 	f := run(t, store)
 	waitVersion(t, f, 1)
 	f.CallFailed(context.Background(), "renew", errors.New("timeout"))
@@ -115,10 +117,7 @@
 // timeout would keep an old configuration in force.
 func TestAnswerEndsAListingWithoutAnswer(t *testing.T) {
 	store := &fakeStore{version: 1, at: 1, silent: 2, asked: make(chan struct{})}
-	store.watch = func(ctx context.Context, _ Revision) (Batch, error) {
-		<-ctx.Done()
-		return Batch{}, ctx.Err()
-	}
+	store.watch = waitForEnd
 	f := run(t, store)
 	waitVersion(t, f, 1)
 	f.CallFailed(context.Background(), "renew", errors.New("timeout"))
@@ -132,10 +131,7 @@
 func TestAnswersLetASlowListingEnd(t *testing.T) {
 	store := &fakeStore{version: 1, at: 1, silent: 2, asked: make(chan struct{})}
 	again := make(chan struct{})
-	store.watch = func(ctx context.Context, _ Revision) (Batch, error) {
-		<-ctx.Done()
-		return Batch{}, ctx.Err()
-	}
+	store.watch = waitForEnd
 	f := run(t, store)
 	waitVersion(t, f, 1)
 	f.CallFailed(context.Background(), "renew", errors.New("timeout"))
@@ -162,8 +158,7 @@
 			store.put(3)
 			return Batch{}, Error.Wrap(ErrCompacted)
 		}
-		<-ctx.Done()
-		return Batch{}, ctx.Err()
+		return waitForEnd(ctx, after)
 	}
 	waitVersion(t, run(t, store), 3)
 }
@@ -201,10 +196,7 @@
 // two hosts that followed each other took their news for fresh for ever, and a configuration came into force 3.4 s late.
 func TestAgeOfNewsIncludesTheWait(t *testing.T) {
 	store := &fakeStore{version: 1, at: 1}
-	store.watch = func(ctx context.Context, _ Revision) (Batch, error) {
-		<-ctx.Done()
-		return Batch{}, ctx.Err()
-	}
+	store.watch = waitForEnd
 	f := run(t, store)
 	waitVersion(t, f, 1)
 	const wait = 50 * time.Millisecond
