End watches that stay open and tell nothing

Cause: a watch that a host opens while the store drops its history stays open and hears of no later change. Renewals are answered meanwhile, so the host took itself for up to date and served by an old configuration until the watch ended after 30 s.

Ruled out: a lost packet (the watch reached the store; both hosts of one region were affected), news from other hosts (12 hosts, all read the store), a batch that was refused.

Now a host asks the store once a second how far it has come while its watch tells nothing. The question may be answered from a copy and costs a tenth of a call. A watch that has not told of a revision half a second after the store showed it is ended, and everything is read anew. Hosts that follow others hear of it with their reader.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -119,6 +119,10 @@
 			f.log.Info().Uint64("revision", uint64(at)).Msg("store_history_compacted")
 			return
 		}
+		if errors.Is(err, ErrWatchDeaf) {
+			f.log.Warn().Uint64("revision", uint64(at)).Err(err).Msg("watch_deaf")
+			return
+		}
 		if err != nil {
 			f.failed(ctx, "watch", err)
 			return
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -19,6 +19,9 @@
 // ErrCompacted says that the store no longer has the history after the asked revision.
 var ErrCompacted = errors.New("history is compacted")
 
+// ErrWatchDeaf says that the store has changes which a watch that waits for them does not tell.
+var ErrWatchDeaf = errors.New("the watch does not tell of changes")
+
 // Revision numbers the changes of the store.
 type Revision uint64
 
@@ -166,6 +169,6 @@
 type Store interface {
 	// List reads all entries. The revision is that of the store before the first entry was read.
 	List(ctx context.Context) (Batch, error)
-	// Watch waits for changes after a revision, for at most wait. Errors: ErrCompacted.
+	// Watch waits for changes after a revision, for at most wait. Errors: ErrCompacted, ErrWatchDeaf.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Batch, error)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,7 +41,7 @@
 	Settings  *settings.Gateway
 	Dialect   Dialect
 	Paths     Paths
-	Store     catalog.Store
+	Store     relay.Store
 	Registrar Registrar
 	Log       zerolog.Logger
 	// DroppedLines returns the number of log lines that were dropped.
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -43,7 +43,7 @@
 // Source is a catalog.Store that reads the platform's store or follows other hosts, whichever is due. Its calls come from one
 // goroutine.
 type Source struct {
-	store catalog.Store
+	store Store
 	self  *catalog.Host
 	seeds []netip.AddrPort
 	view  func() *catalog.View
@@ -62,7 +62,7 @@
 var _ catalog.Store = (*Source)(nil)
 
 // NewSource returns a source for a host. Seeds are peer addresses that are asked while no host is known.
-func NewSource(store catalog.Store, self *catalog.Host, seeds []netip.AddrPort, view func() *catalog.View, log zerolog.Logger) *Source {
+func NewSource(store Store, self *catalog.Host, seeds []netip.AddrPort, view func() *catalog.View, log zerolog.Logger) *Source {
 	return &Source{store: store, self: self, seeds: seeds, view: view, log: log, clients: map[netip.AddrPort]*rpc.Client{}, failed: map[string]time.Time{}}
 }
 
@@ -94,7 +94,7 @@
 	switch failed, away := s.storeFailure(), s.storeAway(); {
 	case !failed:
 		s.setFollowing("")
-		return s.store.Watch(ctx, after, wait)
+		return s.watchStore(ctx, after, wait)
 	case !away:
 		return catalog.Batch{}, errStoreDue
 	default:
--- a/internal/standin/kvstore/store.go
+++ b/internal/standin/kvstore/store.go
@@ -31,6 +31,8 @@
 	Lost
 	// Silent answers nothing until the fault ends or the caller leaves.
 	Silent
+	// Deaf answers all calls, but a watch that begins now hears of no change until the caller leaves.
+	Deaf
 )
 
 // Item is an entry of the store.
@@ -167,6 +169,11 @@
 		case <-r.Context().Done():
 		}
 		panic(http.ErrAbortHandler)
+	case Deaf:
+		if path == "kv-watch" {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 	}
 	status, body := s.route(r, path, id)
 	if fault == Lost {
