Learn run times from queued answers while none are known

Hosts that start while its servers are full (all lose power at 32 s) get only answers that waited in a queue, learned no times from them, and so rejected nothing for its deadline: 190 of 490 requests of two seconds ended at their time-out after holding a slot or a place in the queue, at loads of 19 to 20 of 24. Before the loss of power, the same hosts rejected 170 of 460 at once.

Ruled out: the change of the listener (both states with and without it); expected times too short (1.6 s against time-outs of 1.5 s and 2.5 s, but unused); ejection.

Until ten answers are known, the time of a queued answer divided by the wait that its load explains counts as a run time.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -208,14 +208,15 @@
 
 // expectedRun returns the time in the queue and the slot of a server.
 func (t *Table) expectedRun(r *Request, s *server, warm bool, estimate float64, now time.Time) time.Duration {
-	seconds := t.serviceTime(r, warm) * s.slowness.at(now)
-	slots := float64(s.entry.Slots)
-	if waiting := estimate + 1 - slots; waiting > 0 {
-		seconds *= 1 + waiting/slots
-	}
+	seconds := t.serviceTime(r, warm) * s.slowness.at(now) * queueFactor(estimate, s.entry.Slots)
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// queueFactor returns how many times longer a request takes at a server that has a number of others, the wait for a slot included.
+func queueFactor(load float64, slots int) float64 {
+	return max(1, (load+1)/float64(slots))
+}
+
 // serviceTime returns the time of the route in seconds. Until an answer was seen, the SLO stands for the time of a first
 // request.
 func (t *Table) serviceTime(r *Request, warm bool) float64 {
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -65,14 +65,17 @@
 	if r.Route.Sticky {
 		s.remember(r.Object, now)
 	}
-	if d.Load+1 > float64(s.entry.Slots) {
-		// The time in the queue is not known, so the answer tells nothing about the server's speed.
+	times := t.times(r.Route, r.Service)
+	if queue := queueFactor(d.Load, s.entry.Slots); queue > 1 {
+		// The time in the queue is not known, so the answer tells nothing about the server's speed. A host that starts while all
+		// servers are full gets no other answers, and would never reject what must be late.
+		if !t.knows(r) {
+			times.add(run / queue)
+		}
 		return
 	}
 	if wasWarm || d.Warm {
 		s.slowness.observe(run/t.serviceTime(r, true), now)
 	}
-	times := t.times(r.Route, r.Service)
-	times.warm.add(run, warmShare)
-	times.cold.add(run, coldShare)
+	times.add(run)
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -92,6 +92,12 @@
 	cold quantile
 }
 
+// add takes the time of an answer in seconds.
+func (times *routeTimes) add(run float64) {
+	times.warm.add(run, warmShare)
+	times.cold.add(run, coldShare)
+}
+
 // NewTable returns an empty table of the host self in a failure domain.
 func NewTable(settings Settings, self, domain string, regions map[string]string) *Table {
 	return &Table{
