Keep one unexpected error or malformed message from ending a process

Found by reading: net/rpc does not recover a method's panic, so one call could end either program; gob takes messages of up to a gigabyte from anyone who connects, more than the memory of a host; a lack of descriptors in Accept ended the listener for peers and with it the process; a panic under the lock of the table left it locked for every later request; loops beside the requests had no guard.

Package guard recovers calls, loops and requests, with a log line unexpected_error (place, request id, stack), bounds the messages of net/rpc before they are decoded, and waits out a lack of descriptors. A request that met an unexpected error gets 500, which promises nothing.

Without the recover in net/rpc methods and loops the test processes end.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -76,9 +76,8 @@
 	return f.confirmedAt, f.lostAt.IsZero()
 }
 
-// Run follows the store until ctx ends.
+// Run follows the store until ctx ends. RunExpiry has to run beside it.
 func (f *Follower) Run(ctx context.Context) {
-	go f.expireLoop(ctx)
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		backoff = f.round(ctx, backoff)
@@ -222,7 +221,8 @@
 	}
 }
 
-func (f *Follower) expireLoop(ctx context.Context) {
+// RunExpiry removes entries that lapsed and did not come back, until ctx ends.
+func (f *Follower) RunExpiry(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, expireInterval)
 		f.change(f.state.Expire, nil)
--- a/internal/catalog/follow_test.go
+++ b/internal/catalog/follow_test.go
@@ -61,6 +61,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		go f.RunExpiry(ctx)
 		f.Run(ctx)
 	}()
 	t.Cleanup(func() {
--- a/internal/entry/cluster.go
+++ b/internal/entry/cluster.go
@@ -214,3 +214,17 @@
 	defer c.mu.Unlock()
 	return c.table.Members(now), c.table.Remote(now)
 }
+
+// join answers a host that asks this one to leave its slots alone.
+func (c *cluster) join(request slots.JoinRequest, now time.Time) slots.JoinReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.HandleJoin(request, now)
+}
+
+// observeSummary takes in the summary of a failure domain and reports whether it is newer than the known one.
+func (c *cluster) observeSummary(s membership.Summary, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.ObserveSummary(s, now)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/backend"
 	"github.com/foxtailtack/foxtailtack/internal/config"
 	"github.com/foxtailtack/foxtailtack/internal/forward"
+	"github.com/foxtailtack/foxtailtack/internal/guard"
 	"github.com/foxtailtack/foxtailtack/internal/hostlist"
 	"github.com/foxtailtack/foxtailtack/internal/listener"
 	"github.com/foxtailtack/foxtailtack/internal/lookup"
@@ -128,7 +129,7 @@
 	if err != nil {
 		return Error.New("peer_address: %v", err)
 	}
-	if e.peerServer, err = peer.NewServer(peerListen, peerHandler{e}); err != nil {
+	if e.peerServer, err = peer.NewServer(peerListen, peerHandler{e}, e.log); err != nil {
 		return err
 	}
 	e.callerServer, err = listener.Listen(listener.Options{
@@ -199,7 +200,7 @@
 
 // background runs a step until it ends or the process stops.
 func (e *Entry) background(step func(context.Context)) {
-	e.running.Go(func() { step(e.runContext) })
+	e.running.Go(func() { guard.Once(e.runContext, e.log, "background", step) })
 }
 
 // Close ends everything at once.
--- a/internal/entry/health_test.go
+++ b/internal/entry/health_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	e := &Entry{settings: &settings.Settings{}, config: config.NewManager(nil, nil, zerolog.Nop()), peers: peer.NewClient(netip.Addr{}, nil)}
-	if e.peerServer, err = peer.NewServer(listener, peerHandler{e}); err != nil {
+	if e.peerServer, err = peer.NewServer(listener, peerHandler{e}, e.log); err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = e.peerServer.Close() }()
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/foxtailtack/foxtailtack/internal/guard"
 	"github.com/foxtailtack/foxtailtack/internal/membership"
 	"github.com/foxtailtack/foxtailtack/internal/slots"
 	"github.com/foxtailtack/foxtailtack/internal/wait"
@@ -36,15 +37,15 @@
 	e.every(hostListInterval, e.fetchHostList)
 	e.every(bootstrapInterval, e.bootstrap)
 	e.every(metricsInterval, e.updateMetrics)
-	e.background(e.followStore)
-	e.background(e.poller.Run)
+	e.background(func(ctx context.Context) { guard.Loop(ctx, e.log, "configuration", e.followStore) })
+	e.background(func(ctx context.Context) { guard.Loop(ctx, e.log, "health polls", e.poller.Run) })
 }
 
 // every runs a step at each interval with jitter of a tenth, so that hosts which started together drift apart.
 func (e *Entry) every(interval time.Duration, step func(context.Context)) {
 	e.background(func(ctx context.Context) {
 		for ctx.Err() == nil {
-			step(ctx)
+			guard.Once(ctx, e.log, "timer", step)
 			wait.For(ctx, interval+rand.N(interval/5)-interval/10)
 		}
 	})
--- a/internal/entry/peerhandler.go
+++ b/internal/entry/peerhandler.go
@@ -31,10 +31,7 @@
 
 // Join implements peer.Handler.
 func (h peerHandler) Join(request slots.JoinRequest) slots.JoinReply {
-	c := h.entry.cluster
-	c.mu.Lock()
-	reply := c.tracker.HandleJoin(request, time.Now())
-	c.mu.Unlock()
+	reply := h.entry.cluster.join(request, time.Now())
 	// The slots that the peer takes over lower this host's part of the caps of shifts. While more shifted requests run here
 	// than the lower part allows, the peer's part would come on top of them.
 	reply.Acknowledged = reply.Acknowledged && h.entry.shiftsFit()
--- a/internal/entry/summaries.go
+++ b/internal/entry/summaries.go
@@ -47,10 +47,7 @@
 // observeSummaries takes in summaries, and pulls the configuration from a member that has a higher version.
 func (e *Entry) observeSummaries(summaries []membership.Summary, now time.Time) {
 	for _, s := range summaries {
-		e.cluster.mu.Lock()
-		newer := e.cluster.table.ObserveSummary(s, now)
-		e.cluster.mu.Unlock()
-		if !newer {
+		if !e.cluster.observeSummary(s, now) {
 			continue
 		}
 		if id, version := highest(s); id != "" {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,10 +30,10 @@
 // run offers the request to backend servers until one has answered or nothing more may be tried.
 func (req *request) run(ctx context.Context) (*answer, *result.Failure) {
 	g := req.g
-	g.mu.Lock()
-	req.target = g.table.Service(req.route, req.view.Configuration.Version)
-	g.table.Arrived(req.target)
-	g.mu.Unlock()
+	g.withTable(func(t *placement.Table) {
+		req.target = t.Service(req.route, req.view.Configuration.Version)
+		t.Arrived(req.target)
+	})
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(answerMargin))
 	defer cancel()
 	for {
@@ -157,9 +157,8 @@
 		Failed:   res.ServerFault || res.Outcome == backend.Answered && res.Status >= http.StatusInternalServerError && res.Status != http.StatusGatewayTimeout,
 		Requests: info.Load.Running + info.Load.Waiting, HasRequests: info.HasLoad,
 	}
-	g.mu.Lock()
-	ejected := g.table.Ended(d, req.placementRequest(), observation, now)
-	g.mu.Unlock()
+	ejected := false
+	g.withTable(func(t *placement.Table) { ejected = t.Ended(d, req.placementRequest(), observation, now) })
 	if ejected {
 		g.log.Warn().Str("server", d.Server.ID).Str("request_id", req.info.ID).Msg("server_ejected")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/foxtailtack/foxtailtack/internal/backend"
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
+	"github.com/foxtailtack/foxtailtack/internal/guard"
 	"github.com/foxtailtack/foxtailtack/internal/listener"
 	"github.com/foxtailtack/foxtailtack/internal/placement"
 	"github.com/foxtailtack/foxtailtack/internal/relay"
@@ -115,6 +116,13 @@
 	}
 }
 
+// withTable calls a function with the table. The lock is free again also after an unexpected error.
+func (g *Gateway) withTable(use func(t *placement.Table)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	use(g.table)
+}
+
 // isListed reports whether the catalog has this process's entry.
 func (g *Gateway) isListed() bool {
 	h := g.follower.View().Hosts[g.self.ID]
@@ -137,9 +145,7 @@
 
 // configure takes a new view into use.
 func (g *Gateway) configure(view *catalog.View) {
-	g.mu.Lock()
-	g.table.Configure(view, time.Now())
-	g.mu.Unlock()
+	g.withTable(func(t *placement.Table) { t.Configure(view, time.Now()) })
 	retain(g.backends, view)
 	if l := g.listener(callerListener); l != nil && view.Configuration != nil {
 		l.SetIdleLimit(view.Configuration.Limits.IdleTimeout)
@@ -193,6 +199,9 @@
 	return netip.AddrPort{}
 }
 
+// PeerAddress returns the address on which the process listens for other hosts.
+func (g *Gateway) PeerAddress() netip.AddrPort { return g.self.PeerAddress }
+
 // listener returns the listener of a settings key, nil if there is none.
 func (g *Gateway) listener(key string) *listener.Listener {
 	for _, l := range g.servers {
@@ -215,21 +224,23 @@
 	}
 	defer g.closeTelemetry()
 	go func() {
-		if err := relay.Serve(g.peers, g.follower); !g.stopping.Load() {
+		if err := relay.Serve(g.peers, g.follower, g.log); !g.stopping.Load() {
 			failed <- Error.New("peer_address: %v", err)
 		}
 	}()
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
-	go g.follower.Run(background)
-	go g.measureDistances(background)
+	go guard.Loop(background, g.log, "follower", g.follower.Run)
+	go guard.Loop(background, g.log, "expiry", g.follower.RunExpiry)
+	go guard.Loop(background, g.log, "distances", g.measureDistances)
 	go g.metrics.reportDropped(background, g.dropped)
 	registered, leave := context.WithCancel(background)
 	defer leave()
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
-		g.register.run(registered)
+		guard.Loop(registered, g.log, "registration", g.register.run)
+		g.register.leave()
 	}()
 	g.log.Info().Str("caller_address", g.settings.CallerAddress.String()).Int64("incarnation", int64(g.self.Incarnation)).Msg("started")
 	select {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
+	"github.com/foxtailtack/foxtailtack/internal/guard"
 	"github.com/foxtailtack/foxtailtack/internal/placement"
 	"github.com/foxtailtack/foxtailtack/internal/result"
 )
@@ -64,6 +65,8 @@
 	last placement.Decision
 	// mayHaveRun is true once an attempt ended without an answer or a promise.
 	mayHaveRun bool
+	// answering is true once an answer or a refusal is being written.
+	answering bool
 	// callerLeft is true if the caller closed its connection before the end.
 	callerLeft bool
 }
@@ -72,7 +75,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	req, failure := g.receive(w, r)
+	req := g.newRequest(r)
+	defer g.endUnexpected(w, req)
+	failure := req.receive(w, r)
 	if failure != nil {
 		g.refuse(w, req, failure)
 		return
@@ -90,36 +95,56 @@
 	g.answer(w, req, answer)
 }
 
-// receive reads the request and finds its route.
-func (g *Gateway) receive(w http.ResponseWriter, r *http.Request) (*request, *result.Failure) {
-	now := time.Now()
+func (g *Gateway) newRequest(r *http.Request) *request {
 	req := &request{
-		g: g, info: g.dialect.Request(r), view: g.follower.View(), arrived: now,
+		g: g, info: g.dialect.Request(r), view: g.follower.View(), arrived: time.Now(),
 		method: r.Method, path: r.RequestURI, header: r.Header,
 	}
 	if req.info.ID == "" {
 		req.info.ID = uuid.NewString()
 	}
+	return req
+}
+
+// endUnexpected answers a request whose handling ended by an unexpected error. The answer promises nothing: the request may have run.
+func (g *Gateway) endUnexpected(w http.ResponseWriter, req *request) {
+	r := recover()
+	switch {
+	case r == nil:
+		return
+	case r == http.ErrAbortHandler:
+		panic(r)
+	}
+	guard.Report(g.log.With().Str("request_id", req.info.ID).Logger(), "request", r)
+	if req.answering {
+		// Part of another answer may be on its way.
+		panic(http.ErrAbortHandler)
+	}
+	g.refuse(w, req, result.Fail(result.Internal, "unexpected error"))
+}
+
+// receive reads the request and finds its route.
+func (req *request) receive(w http.ResponseWriter, r *http.Request) *result.Failure {
 	if err := req.limitBody(w, r); err != nil {
-		return req, result.Fail(result.BadRequest, "the connection is closed: %v", err)
+		return result.Fail(result.BadRequest, "the connection is closed: %v", err)
 	}
 	configuration := req.view.Configuration
 	if configuration == nil {
-		return req, result.Fail(result.NotReady, "no configuration is known yet")
+		return result.Fail(result.NotReady, "no configuration is known yet")
 	}
 	req.route = configuration.Route(hostName(r.Host), r.URL.EscapedPath())
 	if req.route == nil {
-		return req, result.Fail(result.NoRoute, "no route for host name %q and path %q", r.Host, r.URL.Path)
+		return result.Fail(result.NoRoute, "no route for host name %q and path %q", r.Host, r.URL.Path)
 	}
-	req.patience = now.Add(req.route.Timeout)
+	req.patience = req.arrived.Add(req.route.Timeout)
 	if req.info.Patience > 0 {
-		req.patience = now.Add(req.info.Patience)
+		req.patience = req.arrived.Add(req.info.Patience)
 	}
-	req.deadline = now.Add(req.route.Timeout)
+	req.deadline = req.arrived.Add(req.route.Timeout)
 	if req.patience.Before(req.deadline) {
 		req.deadline = req.patience
 	}
-	return req, req.readBody(w, r, configuration.Limits.BodyBytes)
+	return req.readBody(w, r, configuration.Limits.BodyBytes)
 }
 
 // hostName removes the port.
@@ -217,6 +242,7 @@
 // boundWrite bounds the time in which the caller has to read what is written next. The deadline of an earlier answer on the same
 // connection may be over, so each answer and refusal has one of its own.
 func (g *Gateway) boundWrite(w http.ResponseWriter, req *request) {
+	req.answering = true
 	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout)); err != nil {
 		g.log.Info().Str("request_id", req.info.ID).Err(err).Msg("answer_without_deadline")
 	}
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -115,6 +115,11 @@
 }
 
 func startHostOn(t *testing.T, kv *kvstore.Store) *host {
+	t.Helper()
+	return startHostWith(t, kv, platform.Dialect{})
+}
+
+func startHostWith(t *testing.T, kv *kvstore.Store, dialect gateway.Dialect) *host {
 	t.Helper()
 	store := httptest.NewServer(kv)
 	t.Cleanup(store.Close)
@@ -132,7 +137,7 @@
 	}
 	client := platform.NewStore(s.StoreAddress)
 	h.process, err = gateway.New(gateway.Options{
-		Settings: s, Dialect: platform.Dialect{}, Paths: gateway.Paths{Lookup: platform.LookupPath, Ready: platform.ReadyPath},
+		Settings: s, Dialect: dialect, Paths: gateway.Paths{Lookup: platform.LookupPath, Ready: platform.ReadyPath},
 		Store: client, Registrar: client, Log: log, DroppedLines: func() uint64 { return 0 },
 	})
 	if err != nil {
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -42,7 +42,7 @@
 	putAt time.Time
 }
 
-// run registers the host and renews its lease until ctx ends, and then takes the entry away.
+// run registers the host and renews its lease until ctx ends.
 func (r *registration) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := renewInterval
@@ -60,7 +60,6 @@
 		}
 		wait.For(ctx, interval)
 	}
-	r.leave()
 }
 
 // step renews the lease, or registers anew if the lease has ended or the entry is missing. A lease that is renewed does
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -8,6 +8,8 @@
 	"net/rpc"
 	"sync/atomic"
 	"time"
+
+	"github.com/foxtailtack/foxtailtack/internal/guard"
 )
 
 // errBroken marks a call whose connection broke after the call may have reached the peer.
@@ -43,7 +45,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	c := &conn{client: rpc.NewClient(countedConn{raw, count}), stop: make(chan struct{}), probing: when}
+	c := &conn{client: rpc.NewClient(guard.LimitMessages(countedConn{raw, count}, mostMessage)), stop: make(chan struct{}), probing: when}
 	if err := c.call(ctx, "Hello", Empty{}, &c.identity); err != nil {
 		c.close()
 		return nil, Error.Wrap(err)
--- a/internal/peer/keepalive_test.go
+++ b/internal/peer/keepalive_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/foxtailtack/foxtailtack/internal/forward"
 	"github.com/foxtailtack/foxtailtack/internal/membership"
 	"github.com/foxtailtack/foxtailtack/internal/standin/network"
@@ -42,7 +44,7 @@
 		t.Fatal(err)
 	}
 	handler := &countingHandler{release: make(chan struct{})}
-	server, err := NewServer(listener, handler)
+	server, err := NewServer(listener, handler, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/foxtailtack/foxtailtack/internal/config"
 	"github.com/foxtailtack/foxtailtack/internal/forward"
 	"github.com/foxtailtack/foxtailtack/internal/grants"
@@ -75,7 +77,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := peer.NewServer(listener, f.handler)
+	server, err := peer.NewServer(listener, f.handler, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,11 +8,13 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
 	"github.com/foxtailtack/foxtailtack/internal/config"
 	"github.com/foxtailtack/foxtailtack/internal/forward"
 	"github.com/foxtailtack/foxtailtack/internal/grants"
+	"github.com/foxtailtack/foxtailtack/internal/guard"
 	"github.com/foxtailtack/foxtailtack/internal/membership"
 	"github.com/foxtailtack/foxtailtack/internal/result"
 	"github.com/foxtailtack/foxtailtack/internal/slots"
@@ -21,6 +23,9 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("peer")
 
+// mostMessage bounds a message between entry hosts in bytes: the largest answer that a policy allows, with its header.
+const mostMessage = 65 << 20
+
 // serviceName is the net/rpc name of the service that each entry host registers.
 const serviceName = "Entry"
 
@@ -89,11 +94,11 @@
 }
 
 // NewServer returns a server for calls that arrive at the listener.
-func NewServer(listener net.Listener, handler Handler) (*Server, error) {
+func NewServer(listener net.Listener, handler Handler, log zerolog.Logger) (*Server, error) {
 	s := &Server{
 		listener: listener,
 		rpc:      rpc.NewServer(),
-		service:  &service{handler: handler, running: map[string]context.CancelFunc{}},
+		service:  &service{handler: handler, log: log, running: map[string]context.CancelFunc{}},
 		conns:    map[net.Conn]struct{}{},
 	}
 	if err := s.rpc.RegisterName(serviceName, s.service); err != nil {
@@ -105,14 +110,14 @@
 // Serve accepts connections until Close.
 func (s *Server) Serve() error {
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := guard.Accept(s.listener, s.service.log)
 		if err != nil {
 			return Error.Wrap(err)
 		}
 		s.track(conn)
 		go func() {
 			defer s.forget(conn)
-			s.rpc.ServeConn(countedConn{conn, &s.count})
+			s.rpc.ServeConn(guard.LimitMessages(countedConn{conn, &s.count}, mostMessage))
 		}()
 	}
 }
@@ -148,49 +153,57 @@
 // service holds the methods that net/rpc exposes.
 type service struct {
 	handler Handler
+	log     zerolog.Logger
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc
 }
 
 // Hello tells the caller of the connection which process answers. It also serves as keepalive.
-func (s *service) Hello(_ Empty, reply *Identity) error {
+func (s *service) Hello(_ Empty, reply *Identity) (err error) {
+	defer guard.Call(s.log, "peer Hello", &err)
 	*reply = s.handler.Identity()
 	return nil
 }
 
 // Heartbeat exchanges news inside a failure domain.
-func (s *service) Heartbeat(args HeartbeatMessage, reply *HeartbeatMessage) error {
+func (s *service) Heartbeat(args HeartbeatMessage, reply *HeartbeatMessage) (err error) {
+	defer guard.Call(s.log, "peer Heartbeat", &err)
 	*reply = NewHeartbeatMessage(s.handler.Heartbeat(args.Heartbeat()))
 	return nil
 }
 
 // Join asks this host to leave the slots of a starting host alone.
-func (s *service) Join(args slots.JoinRequest, reply *slots.JoinReply) error {
+func (s *service) Join(args slots.JoinRequest, reply *slots.JoinReply) (err error) {
+	defer guard.Call(s.log, "peer Join", &err)
 	*reply = s.handler.Join(args)
 	return nil
 }
 
 // Ticket issues the ticket that the sender needs for its goodbye.
-func (s *service) Ticket(from string, reply *slots.Ticket) error {
+func (s *service) Ticket(from string, reply *slots.Ticket) (err error) {
+	defer guard.Call(s.log, "peer Ticket", &err)
 	*reply = s.handler.Ticket(from)
 	return nil
 }
 
 // Goodbye says that the sender uses no slots any more. The reply tells whether the message counts.
-func (s *service) Goodbye(args Goodbye, reply *bool) error {
+func (s *service) Goodbye(args Goodbye, reply *bool) (err error) {
+	defer guard.Call(s.log, "peer Goodbye", &err)
 	*reply = s.handler.Goodbye(args)
 	return nil
 }
 
 // Grant asks for capacity.
-func (s *service) Grant(args grants.Request, reply *grants.Grant) error {
+func (s *service) Grant(args grants.Request, reply *grants.Grant) (err error) {
+	defer guard.Call(s.log, "peer Grant", &err)
 	*reply = s.handler.Grant(args)
 	return nil
 }
 
 // Forward runs a request on behalf of another entry host.
-func (s *service) Forward(args *forward.Request, reply *forward.Response) error {
+func (s *service) Forward(args *forward.Request, reply *forward.Response) (err error) {
+	defer guard.Call(s.log, "peer Forward", &err)
 	ctx, cancel := context.WithTimeout(context.Background(), args.Timeout)
 	defer cancel()
 	s.started(args.ID, cancel)
@@ -204,7 +217,8 @@
 }
 
 // Cancel stops a forwarded request whose caller has gone.
-func (s *service) Cancel(args CancelRequest, _ *Empty) error {
+func (s *service) Cancel(args CancelRequest, _ *Empty) (err error) {
+	defer guard.Call(s.log, "peer Cancel", &err)
 	s.mu.Lock()
 	cancel := s.running[args.RequestID]
 	s.mu.Unlock()
@@ -215,19 +229,22 @@
 }
 
 // ConfigHead returns the accepted configuration's head.
-func (s *service) ConfigHead(_ Empty, reply *config.Head) error {
+func (s *service) ConfigHead(_ Empty, reply *config.Head) (err error) {
+	defer guard.Call(s.log, "peer ConfigHead", &err)
 	*reply = s.handler.ConfigHead()
 	return nil
 }
 
 // ConfigPart returns one part of the configuration.
-func (s *service) ConfigPart(digest config.Digest, reply *PartReply) error {
+func (s *service) ConfigPart(digest config.Digest, reply *PartReply) (err error) {
+	defer guard.Call(s.log, "peer ConfigPart", &err)
 	reply.Part, reply.Found = s.handler.ConfigPart(digest)
 	return nil
 }
 
 // Summaries exchanges summaries of failure domains.
-func (s *service) Summaries(args SummaryExchange, reply *SummaryReply) error {
+func (s *service) Summaries(args SummaryExchange, reply *SummaryReply) (err error) {
+	defer guard.Call(s.log, "peer Summaries", &err)
 	*reply = s.handler.Summaries(args)
 	return nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -96,7 +96,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listen.Close() })
-	go func() { _ = Serve(listen, u) }()
+	go func() { _ = Serve(listen, u, zerolog.Nop()) }()
 	return listen.Addr().(*net.TCPAddr).AddrPort()
 }
 
@@ -201,3 +201,31 @@
 		t.Fatalf("got %v, want ErrCompacted", err)
 	}
 }
+
+// An unexpected error in one call took the whole process down, since net/rpc does not catch it.
+func TestUnexpectedErrorEndsOneCallOnly(t *testing.T) {
+	u := &failingUpstream{}
+	address := serve(t, u)
+	view := &catalog.View{Hosts: map[string]*catalog.Host{}}
+	s := NewSource(&fakeStore{}, &catalog.Host{ID: "me"}, nil, func() *catalog.View { return view }, zerolog.Nop())
+	if _, err := s.ask(context.Background(), "other", address, WatchArgs{Everything: true}, time.Second); err == nil {
+		t.Error("a call that met an unexpected error has no error")
+	}
+	if batch, err := s.ask(context.Background(), "other", address, WatchArgs{Everything: true}, time.Second); err != nil || batch.Revision != 5 {
+		t.Errorf("the next call: %v, revision %d", err, batch.Revision)
+	}
+}
+
+// failingUpstream meets an unexpected error in its first call.
+type failingUpstream struct {
+	upstream
+	called bool
+}
+
+func (u *failingUpstream) Everything() catalog.Batch {
+	if !u.called {
+		u.called = true
+		panic("unexpected")
+	}
+	return catalog.Batch{Revision: 5}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -6,7 +6,10 @@
 	"net/rpc"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
+	"github.com/foxtailtack/foxtailtack/internal/guard"
 )
 
 // serviceName is the net/rpc name of the service.
@@ -32,10 +35,14 @@
 }
 
 // service is the receiver of the calls.
-type service struct{ upstream Upstream }
+type service struct {
+	upstream Upstream
+	log      zerolog.Logger
+}
 
 // Watch answers one call.
-func (s *service) Watch(args WatchArgs, reply *WatchReply) error {
+func (s *service) Watch(args WatchArgs, reply *WatchReply) (err error) {
+	defer guard.Call(s.log, "relay watch", &err)
 	if args.Everything {
 		reply.Batch = s.upstream.Everything()
 		return nil
@@ -49,20 +56,26 @@
 	return nil
 }
 
-// longestWait bounds the wait of a call.
-const longestWait = 5 * time.Second
+const (
+	// longestWait bounds the wait of a call.
+	longestWait = 5 * time.Second
+	// mostQuestion and mostNews bound the messages between hosts, in bytes: news of everything has some 200 bytes for each entry of the
+	// store, of which the largest deployments have a few thousand.
+	mostQuestion = 16 << 10
+	mostNews     = 16 << 20
+)
 
 // Serve answers hosts that connect to a listener, until that fails or is closed. It returns the reason.
-func Serve(listen net.Listener, upstream Upstream) error {
+func Serve(listen net.Listener, upstream Upstream, log zerolog.Logger) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &service{upstream}); err != nil {
+	if err := server.RegisterName(serviceName, &service{upstream, log}); err != nil {
 		return err
 	}
 	for {
-		conn, err := listen.Accept()
+		conn, err := guard.Accept(listen, log)
 		if err != nil {
 			return err
 		}
-		go server.ServeConn(conn)
+		go server.ServeConn(guard.LimitMessages(conn, mostQuestion))
 	}
 }
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
+	"github.com/foxtailtack/foxtailtack/internal/guard"
 )
 
 // Error is the class of errors of this package.
@@ -300,7 +301,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client = rpc.NewClient(conn)
+	client = rpc.NewClient(guard.LimitMessages(conn, mostNews))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.clients[address] = client
