Bound what bodies hold together, and take no late copy for an answer

Bodies of callers and of servers share one budget now, a fifth of the machine's memory (134 MiB of heap with the race detector, 90 without). A request beyond it ends with an outcome that promises nothing, or 503 if it was not sent; small bodies pass. A server whose answer states no length and does not end counts as failing.

--- a/internal/backend/classify.go
+++ b/internal/backend/classify.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 
+	"github.com/foxtailtack/foxtailtack/internal/bodies"
 	"github.com/foxtailtack/foxtailtack/internal/result"
 )
 
@@ -44,17 +44,19 @@
 }
 
 // read reads the whole answer and classifies it.
-func (a *attempt) read(ctx context.Context, answer *http.Response) Result {
+func (a *attempt) read(ctx context.Context, conns *serverConns, answer *http.Response) Result {
 	header, draining := a.protocol.answerHeader(answer.Header)
 	res := Result{Outcome: Unknown, Draining: draining}
 	echoed := answer.Header.Get(a.protocol.RequestIDHeader)
-	if echoed != a.req.ID && (echoed != "" || a.protocol.EchoRequired) {
+	conns.named(echoed != "")
+	if echoed != a.req.ID && (echoed != "" || a.protocol.EchoRequired || a.wasReused()) {
 		res.Failure = result.Fail(result.ConnectionLost, "%s answered request %q instead of %q", a.server.ID, echoed, a.req.ID)
 		return res
 	}
 	body, failure := a.readBody(ctx, answer)
 	if failure != nil {
 		res.Failure = failure
+		res.Endless = failure.Code == result.AnswerTooLarge && answer.ContentLength < 0
 		return res
 	}
 	if a.isShed(answer) {
@@ -83,7 +85,7 @@
 	return answer.Header.Get(shed.Header) != ""
 }
 
-// readBody reads at most MaxAnswerBytes. An answer whose end is only marked by the end of the connection cannot be told
+// readBody reads at most MaxAnswerBytes, and no more than the budget of all bodies has. An answer whose end is only marked by the end of the connection cannot be told
 // from one that was cut off, so it counts as incomplete unless the protocol allows it.
 func (a *attempt) readBody(ctx context.Context, answer *http.Response) ([]byte, *result.Failure) {
 	if hasNoLength(answer) && !a.protocol.AllowUnframed {
@@ -93,17 +95,19 @@
 	if answer.ContentLength > limit && answer.Request.Method != http.MethodHead {
 		return nil, result.Fail(result.AnswerTooLarge, "the answer of %s has %d bytes, limit %d", a.server.ID, answer.ContentLength, limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
-	if ctx.Err() != nil && err != nil {
+	body, err := a.req.Bodies.ReadAll(answer.Body, limit)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, bodies.ErrTooLong):
+		return nil, result.Fail(result.AnswerTooLarge, "the answer of %s exceeds %d bytes", a.server.ID, limit)
+	case errors.Is(err, bodies.ErrBudget):
+		return nil, result.Fail(result.AnswerTooLarge, "the answer of %s after %d bytes: %v", a.server.ID, len(body), err)
+	case ctx.Err() != nil:
 		return nil, result.Fail(result.AttemptTimeout, "the answer of %s did not end in time", a.server.ID)
-	}
-	if err != nil {
+	default:
 		return nil, result.Fail(result.IncompleteAnswer, "the answer of %s ended early: %v", a.server.ID, err)
 	}
-	if int64(len(body)) > limit {
-		return nil, result.Fail(result.AnswerTooLarge, "the answer of %s exceeds %d bytes", a.server.ID, limit)
-	}
-	return body, nil
 }
 
 // isServerFault tells whether an attempt counts against the health of the backend server. The end or the silence of a
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -125,7 +125,7 @@
 		return a.failed(ctx, err)
 	}
 	defer answer.Body.Close()
-	return a.read(ctx, answer)
+	return a.read(ctx, conns, answer)
 }
 
 func (a *attempt) httpRequest(ctx context.Context) (*http.Request, error) {
--- a/internal/backend/distrust_test.go
+++ b/internal/backend/distrust_test.go
@@ -23,6 +23,7 @@
 	var opened atomic.Int32
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(backend.HeaderRequestID, r.Header.Get(backend.HeaderRequestID))
 			if r.URL.Path == "/second" {
 				conn, _, _ := w.(http.Hijacker).Hijack()
 				_ = conn.Close()
--- a/internal/backend/outcome.go
+++ b/internal/backend/outcome.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/foxtailtack/foxtailtack/internal/bodies"
 	"github.com/foxtailtack/foxtailtack/internal/result"
 )
 
@@ -66,6 +67,8 @@
 	Fresh bool
 	// Budget is the time that the backend server is told, at most the time until ctx's deadline. Zero means all of that.
 	Budget time.Duration
+	// Bodies holds the answer's body; nil sets no budget.
+	Bodies *bodies.Holder
 	// TraceParent is the W3C trace context, or empty.
 	TraceParent string
 	// BeforeWrite runs after the connection is open and before the first byte is written. An error stops the attempt as
@@ -94,6 +97,8 @@
 	// ServerFault is true if the end of the attempt speaks against the backend server: no connection, a broken one, or no
 	// answer for at least a second. The end of a reused connection does not count.
 	ServerFault bool
+	// Endless is true if an answer that stated no length went on beyond what may be held.
+	Endless bool
 	// SentAt is the time at which the attempt started.
 	SentAt time.Time
 	// Duration is the time that the attempt took.
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -66,6 +66,8 @@
 	mu sync.Mutex
 	// distrusted is the time until which work that must not be repeated uses new connections only.
 	distrusted time.Time
+	// nameless is true while the server's latest answer did not name its request.
+	nameless bool
 }
 
 func newServerConns(server *policy.BackendServer, protocol Protocol) *serverConns {
@@ -83,10 +85,11 @@
 	return s
 }
 
-// transportFor chooses the connections of an attempt.
+// transportFor chooses the connections of an attempt. A server whose answers do not name their request gets one request on each
+// connection: a late copy of an answer could not be told from the answer to the next.
 func (s *serverConns) transportFor(req *Request) *http.Transport {
 	switch {
-	case req.Fresh:
+	case req.Fresh || s.isNameless():
 		return s.fresh
 	case req.Repeatable:
 		return s.pooled
@@ -105,6 +108,19 @@
 	s.distrusted = time.Now().Add(distrustFor)
 }
 
+func (s *serverConns) isNameless() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nameless
+}
+
+// named notes whether the server's latest answer named its request.
+func (s *serverConns) named(yes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nameless = !yes
+}
+
 func (s *serverConns) isDistrusted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/bodies/bodies_test.go
@@ -0,0 +1,57 @@
+package bodies
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+)
+
+// Bodies must come out whole or with the right error, what all hold must never exceed the budget, and all of it must come back.
+func TestBodiesStayWithinTheirBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const budget = 200 << 10
+		b := NewBudget(budget)
+		var holders []*Holder
+		for range rapid.IntRange(1, 30).Draw(t, "requests") {
+			h := b.NewHolder()
+			holders = append(holders, h)
+			size := rapid.IntRange(0, 100<<10).Draw(t, "size")
+			limit := rapid.IntRange(0, 120<<10).Draw(t, "limit")
+			text := bytes.Repeat([]byte{'x'}, size)
+			body, err := h.ReadAll(bytes.NewReader(text), int64(limit))
+			switch {
+			case err == nil && (len(body) != size || size > limit):
+				t.Fatalf("%d of %d bytes with limit %d", len(body), size, limit)
+			case errors.Is(err, ErrTooLong) && size <= limit, errors.Is(err, ErrBudget) && size <= allowance/2:
+				t.Fatalf("%v for %d bytes with limit %d", err, size, limit)
+			}
+			if free := b.Free(); free < 0 || free > budget {
+				t.Fatalf("%d bytes free", free)
+			}
+			if rapid.Bool().Draw(t, "ends") {
+				h.Release()
+			}
+		}
+		for _, h := range holders {
+			h.Release()
+		}
+		if b.Free() != budget {
+			t.Fatalf("%d bytes free at the end, want %d", b.Free(), budget)
+		}
+	})
+}
+
+// A reader that fails must not look like the end of a body.
+func TestFailedReadIsNoEnd(t *testing.T) {
+	var h *Holder
+	if _, err := h.ReadAll(iotest.TimeoutReader(iotest.OneByteReader(bytes.NewReader([]byte("ab")))), 10); !errors.Is(err, iotest.ErrTimeout) {
+		t.Errorf("error %v", err)
+	}
+	if body, err := h.ReadAll(io.LimitReader(bytes.NewReader([]byte("abc")), 3), 3); err != nil || string(body) != "abc" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/foxtailtack/foxtailtack/internal/backend"
@@ -49,7 +50,9 @@
 		}
 		if v.failure != nil || v.again {
 			req.failed++
-			if !req.refusedWithRoom(v.failure) {
+			if req.refusedWithRoom(v.failure) {
+				req.refusedBy = append(req.refusedBy, decision.Server.ID)
+			} else {
 				req.tried = append(req.tried, decision.Server.ID)
 			}
 		}
@@ -144,9 +147,11 @@
 		ID: d.Server.ID, Service: req.target, FailureDomain: d.Server.FailureDomain, Address: d.Server.Address,
 		Slots: d.Server.Slots, MaxConnections: req.connections(),
 	}
+	// A late copy of the refusal would carry this request's id, and would be taken for the promise that this attempt did not run.
+	again := slices.Contains(req.refusedBy, d.Server.ID)
 	res := g.backends.Do(ctx, service, server, &backend.Request{
 		ID: req.info.ID, ServerID: d.Server.ID, Method: req.method, Path: req.path, Header: req.header, Body: req.body,
-		Repeatable: req.route.Idempotent, Budget: max(time.Millisecond, time.Until(req.deadline)-d.RoundTrip),
+		Repeatable: req.route.Idempotent, Fresh: again, Bodies: req.bodies, Budget: max(time.Millisecond, time.Until(req.deadline)-d.RoundTrip),
 	})
 	info := g.dialect.Answer(res.Header)
 	now := time.Now()
@@ -154,7 +159,7 @@
 		Connect: res.Connect, Took: res.Duration,
 		Answered: res.Outcome == backend.Answered && res.Status < http.StatusInternalServerError,
 		Shed:     res.Failure != nil && res.Failure.Code == result.BackendShed,
-		Failed:   res.ServerFault || res.Outcome == backend.Answered && res.Status >= http.StatusInternalServerError && res.Status != http.StatusGatewayTimeout,
+		Failed:   res.ServerFault || res.Endless || res.Outcome == backend.Answered && res.Status >= http.StatusInternalServerError && res.Status != http.StatusGatewayTimeout,
 		Requests: info.Load.Running + info.Load.Waiting, HasRequests: info.HasLoad,
 	}
 	ejected := false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/foxtailtack/foxtailtack/internal/backend"
+	"github.com/foxtailtack/foxtailtack/internal/bodies"
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
 	"github.com/foxtailtack/foxtailtack/internal/guard"
 	"github.com/foxtailtack/foxtailtack/internal/listener"
@@ -27,10 +28,23 @@
 const (
 	// memoryShare is the part of the machine's memory from which the runtime collects garbage more often.
 	memoryShare = 0.6
+	// bodyShare is the part of the machine's memory that bodies may hold. While a body grows, and until the next collection, it takes
+	// up to three times its size.
+	bodyShare = 0.2
+	// defaultBodyBudget is the memory for bodies, in bytes, if that of the machine is not known.
+	defaultBodyBudget = 64 << 20
 	// maxHeaderBytes bounds a request header.
 	maxHeaderBytes = 64 << 10
 )
 
+// bodyBudget returns the bytes that bodies may hold on a machine with a memory in MB, 0 if that is not known.
+func bodyBudget(memoryMB int) int64 {
+	if memoryMB <= 0 {
+		return defaultBodyBudget
+	}
+	return int64(bodyShare * float64(memoryMB<<20))
+}
+
 // Paths names the calls that callers and the platform make.
 type Paths struct {
 	Lookup string
@@ -58,6 +72,7 @@
 	source   *relay.Source
 	follower *catalog.Follower
 	backends *backend.Client
+	bodies   *bodies.Budget
 	register *registration
 	metrics  *gatewayMetrics
 	dropped  func() uint64
@@ -94,6 +109,7 @@
 			CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
 		},
 		backends: backend.NewClientFor(o.Dialect.Protocol()),
+		bodies:   bodies.NewBudget(bodyBudget(s.MemoryLimitMB)),
 		table:    placement.NewTable(placement.Settings{RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack}, s.HostID, s.FailureDomain, s.FailureDomains),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/foxtailtack/foxtailtack/internal/bodies"
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
 	"github.com/foxtailtack/foxtailtack/internal/guard"
 	"github.com/foxtailtack/foxtailtack/internal/placement"
@@ -48,6 +48,8 @@
 	path     string
 	header   http.Header
 	body     []byte
+	// bodies holds the body and those of answers.
+	bodies *bodies.Holder
 	// bodyLeft is true while bytes of the body may still arrive.
 	bodyLeft bool
 	span     trace.Span
@@ -56,6 +58,8 @@
 	failed int
 	// tried lists the servers that are not to get the request again.
 	tried []string
+	// refusedBy lists servers that refused the request though they had room, and may get it again.
+	refusedBy []string
 	// sent and unsent count the failed attempts that may have reached a server, and those that did not.
 	sent   int
 	unsent int
@@ -76,6 +80,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	req := g.newRequest(r)
+	defer req.bodies.Release()
 	defer g.endUnexpected(w, req)
 	failure := req.receive(w, r)
 	if failure != nil {
@@ -98,7 +103,7 @@
 func (g *Gateway) newRequest(r *http.Request) *request {
 	req := &request{
 		g: g, info: g.dialect.Request(r), view: g.follower.View(), arrived: time.Now(),
-		method: r.Method, path: r.RequestURI, header: r.Header,
+		method: r.Method, path: r.RequestURI, header: r.Header, bodies: g.bodies.NewHolder(),
 	}
 	if req.info.ID == "" {
 		req.info.ID = uuid.NewString()
@@ -174,13 +179,14 @@
 	if !req.bodyLeft {
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	body, err := req.bodies.ReadAll(r.Body, limit)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return result.Fail(result.BodyTimeout, "only %d bytes of the body arrived before the deadline", len(body))
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bodies.ErrTooLong):
 		return result.Fail(result.BodyTooLarge, "the body exceeds %d bytes", limit)
+	case errors.Is(err, bodies.ErrBudget):
+		return result.Fail(result.NoCapacity, "the body after %d bytes: %v", len(body), err)
 	case err != nil:
 		return result.Fail(result.BadRequest, "the body cannot be read: %v", err)
 	}
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -103,6 +103,7 @@
 	}
 	if !s.begin(r.Header.Get(headerIdempotencyKey), id, fault == ShedAll) {
 		w.Header().Set(headerNotRun, "1")
+		w.Header().Set(headerRequestID, id)
 		writeJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "no free slot"})
 		return
 	}
