Let requests wait for the first configuration of a process that has just started

In the first 3 s of a process, a request waits for the configuration, for at most 0.3 of its caller's time. Later it is rejected at once, with a Retry-After of 1 s to 2 s within a third of the caller's time.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -45,6 +45,8 @@
 	// confirmedAt is the time of the latest answer.
 	confirmedAt time.Time
 	history     history
+	// configured is closed when the first configuration is in force.
+	configured chan struct{}
 	// cut ends the listing, pause or watch that runs, nil before the first; watching says that it is a watch.
 	cut      context.CancelFunc
 	watching bool
@@ -54,7 +56,7 @@
 
 // NewFollower returns a follower with an empty view.
 func NewFollower(store Store, log zerolog.Logger) *Follower {
-	f := &Follower{store: store, log: log, now: time.Now, state: NewState()}
+	f := &Follower{store: store, log: log, now: time.Now, state: NewState(), configured: make(chan struct{})}
 	f.view.Store(f.state.View())
 	return f
 }
@@ -62,6 +64,9 @@
 // View returns the latest view.
 func (f *Follower) View() *View { return f.view.Load() }
 
+// Configured returns a channel that is closed when the first configuration is in force.
+func (f *Follower) Configured() <-chan struct{} { return f.configured }
+
 // Subscribe registers a function that is called with each new view.
 func (f *Follower) Subscribe(fn func(*View)) {
 	f.mu.Lock()
@@ -215,7 +220,10 @@
 		f.history.add(changes, f.state.revision)
 	}
 	view := f.state.View()
-	f.view.Store(view)
+	first := f.view.Swap(view).Configuration == nil && view.Configuration != nil
+	if first {
+		defer close(f.configured)
+	}
 	for _, fn := range f.subscribers {
 		fn(view)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,8 @@
 	table *placement.Table
 	rng   *rand.Rand
 
+	// created is the time of the process's start.
+	created time.Time
 	// stopping is true from SIGTERM on.
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -103,7 +105,7 @@
 		return nil, Error.Wrap(err)
 	}
 	g := &Gateway{
-		settings: s, dialect: o.Dialect, log: o.Log, traces: traces, dropped: o.DroppedLines,
+		settings: s, dialect: o.Dialect, log: o.Log, traces: traces, dropped: o.DroppedLines, created: time.Now(),
 		self: &catalog.Host{
 			ID: s.HostID, Incarnation: catalog.Incarnation(time.Now().UnixMilli()), FailureDomain: s.FailureDomain, Region: s.Region,
 			CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -28,6 +29,10 @@
 	bodyTimeout = 10 * time.Second
 	// answerTimeout bounds how long a caller may take to read its answer, so that callers who read nothing hold no memory for ever.
 	answerTimeout = 30 * time.Second
+	// startWait is the time from the start of a process in which it expects its first configuration: one to two seconds on the largest
+	// deployments. Requests wait until then; later ones are rejected at once. startPatience is the part of a caller's time that it waits.
+	startWait     = 3 * time.Second
+	startPatience = 0.3
 	// tracerName names the instrumentation of this package.
 	tracerName = "github.com/foxtailtack/foxtailtack/internal/gateway"
 )
@@ -133,7 +138,7 @@
 	if err := req.limitBody(w, r); err != nil {
 		return result.Fail(result.BadRequest, "the connection is closed: %v", err)
 	}
-	configuration := req.view.Configuration
+	configuration := req.configuration(r.Context())
 	if configuration == nil {
 		return result.Fail(result.NotReady, "no configuration is known yet")
 	}
@@ -152,6 +157,25 @@
 	return req.readBody(w, r, configuration.Limits.BodyBytes)
 }
 
+// configuration returns the configuration in force. A process that has just started will have one within the time in which it reads
+// the store; a caller that was refused meanwhile would come back too soon, and has only one more try.
+func (req *request) configuration(ctx context.Context) *catalog.Configuration {
+	if req.view.Configuration != nil {
+		return req.view.Configuration
+	}
+	most := startWait - time.Since(req.g.created)
+	if req.info.Patience > 0 {
+		most = min(most, time.Duration(startPatience*float64(req.info.Patience)))
+	}
+	select {
+	case <-req.g.follower.Configured():
+	case <-ctx.Done():
+	case <-time.After(most):
+	}
+	req.view = req.g.follower.View()
+	return req.view.Configuration
+}
+
 // hostName removes the port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -215,12 +239,18 @@
 // retryAfter returns when the caller of a request that was not run should come back.
 func (g *Gateway) retryAfter(req *request, failure *result.Failure) time.Duration {
 	rank, remaining := 0, time.Second
-	if req.route != nil {
+	switch {
+	case req.route != nil:
 		rank, remaining = req.route.Rank, time.Until(req.patience)
+	case req.info.Patience > 0:
+		remaining = req.info.Patience - time.Since(req.arrived)
 	}
 	room := req.refusedWithRoom(failure)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if failure.Code == result.NotReady {
+		return placement.StartRetryAfter(remaining, g.rng)
+	}
 	return placement.RetryAfter(rank, remaining, room, g.rng)
 }
 
--- a/internal/placement/retryafter.go
+++ b/internal/placement/retryafter.go
@@ -15,6 +15,9 @@
 	// soonRetryAfter is the shortest wait of a caller for whom servers have room, and the span over which such callers are spread. It is a
 	// small part of any SLO.
 	soonRetryAfter = 20 * time.Millisecond
+	// startRetryAfter is the shortest wait of a caller whose host has just started, and the span over which such callers are spread. A host
+	// needs one to two seconds.
+	startRetryAfter = time.Second
 	// leastRetryAfter is the shortest wait that a caller is told, also if it has hardly any time left.
 	leastRetryAfter = 10 * time.Millisecond
 )
@@ -27,6 +30,17 @@
 	if room {
 		earliest = soonRetryAfter
 	}
+	return spreadWait(earliest, remaining, rng)
+}
+
+// StartRetryAfter returns when the caller of a host without a configuration should come back. It answers the wave of callers that meet
+// hosts which have all just started: most callers have one more try, and a soon one meets the same.
+func StartRetryAfter(remaining time.Duration, rng *rand.Rand) time.Duration {
+	return spreadWait(startRetryAfter, remaining, rng)
+}
+
+// spreadWait returns a wait between a time and twice that, within the part of the remaining time that callers wait.
+func spreadWait(earliest, remaining time.Duration, rng *rand.Rand) time.Duration {
 	wait := earliest + time.Duration(rng.Int64N(int64(earliest)))
 	most := time.Duration(retryAfterShare * float64(remaining))
 	return max(leastRetryAfter, min(wait, most))
