Make fewer calls to the store on large deployments

Changes: - What a listing shows to have changed is kept for followers, and a follower takes the changes since its own revision in place of everything. - A host that follows others asks readers of two other failure domains before the store.

The deaf-watch test waits until a watch is open.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -18,7 +18,7 @@
 	watchWait = 30 * time.Second
 	// batchPause is the pause after a watch that returned changes. Changes often come in series and each call is paid for; the
 	// pause is a small part of the bounds of two seconds and more within which changes have to be in force.
-	batchPause = 150 * time.Millisecond
+	batchPause = 300 * time.Millisecond
 	// firstBackoff and lastBackoff bound the time between two calls while the store does not answer. After its return a host has
 	// some seconds until the bounds hold again.
 	firstBackoff = 100 * time.Millisecond
@@ -105,7 +105,12 @@
 		return pauseBackoff(round, backoff)
 	}
 	f.answered(batch.Age)
-	f.change(func(now time.Time) []Effect { return f.state.Resync(batch.Changes, batch.Revision, now) }, nil)
+	f.change(func(now time.Time) ([]Effect, []Change) {
+		if batch.Since > 0 {
+			return f.state.Apply(batch.Changes, batch.Revision, now), batch.Changes
+		}
+		return f.state.Resync(batch.Changes, batch.Revision, now)
+	})
 	f.watch(round, batch.Revision)
 	return firstBackoff
 }
@@ -134,7 +139,7 @@
 		f.answered(batch.Age)
 		at = max(at, batch.Revision)
 		if len(batch.Changes) > 0 {
-			f.change(func(now time.Time) []Effect { return f.state.Apply(batch.Changes, at, now) }, batch.Changes)
+			f.change(func(now time.Time) ([]Effect, []Change) { return f.state.Apply(batch.Changes, at, now), batch.Changes })
 			wait.For(ctx, batchPause)
 		}
 	}
@@ -203,13 +208,13 @@
 	}
 }
 
-// change applies a step to the state, logs its effects and publishes the view. The changes are kept for hosts that follow
-// this one; nil means that they have to read everything anew.
-func (f *Follower) change(step func(now time.Time) []Effect, changes []Change) {
+// change applies a step to the state, logs its effects and publishes the view. The changes that the step returns are kept for hosts
+// that follow this one; nil means that they have to read everything anew.
+func (f *Follower) change(step func(now time.Time) ([]Effect, []Change)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.state.revision
-	effects := step(f.now())
+	effects, changes := step(f.now())
 	for _, e := range effects {
 		f.log.Info().Str("subject", e.Subject).Uint64("revision", uint64(e.Revision)).Str("detail", e.Detail).Msg(e.Event)
 	}
@@ -233,7 +238,7 @@
 func (f *Follower) RunExpiry(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, expireInterval)
-		f.change(f.state.Expire, nil)
+		f.change(func(now time.Time) ([]Effect, []Change) { return f.state.Expire(now), nil })
 	}
 }
 
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -82,9 +83,11 @@
 	return s.effects
 }
 
-// Resync takes a whole listing. Entries that it lacks are removed.
-func (s *State) Resync(list []Change, at Revision, now time.Time) []Effect {
+// Resync takes a whole listing. Entries that it lacks are removed. It returns the changes since the revision known before, in the
+// order of revisions, for hosts that follow this one; nil if they are not known.
+func (s *State) Resync(list []Change, at Revision, now time.Time) ([]Effect, []Change) {
 	s.effects = nil
+	news := s.newsOf(list, at)
 	seenServers, seenHosts, evacuated := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for i := range list {
 		c := &list[i]
@@ -114,7 +117,47 @@
 		}
 	}
 	s.revision = max(s.revision, at)
-	return s.effects
+	return s.effects, news
+}
+
+// newsOf returns how a listing differs from what is known. Entries without a revision come from a host that does not know theirs.
+func (s *State) newsOf(list []Change, at Revision) []Change {
+	if s.revision == 0 {
+		return nil
+	}
+	news := []Change{}
+	servers, hosts, evacuated := maps.Clone(s.servers), maps.Clone(s.hosts), maps.Clone(s.evacuated)
+	for _, c := range list {
+		known := true
+		switch {
+		case c.Revision == 0:
+			return nil
+		case c.Server != nil:
+			_, known = servers[c.Server.ID]
+			delete(servers, c.Server.ID)
+		case c.Host != nil:
+			_, known = hosts[c.Host.ID]
+			delete(hosts, c.Host.ID)
+		case c.Evacuated != "":
+			known = evacuated[c.Evacuated]
+			delete(evacuated, c.Evacuated)
+		}
+		if !known || c.Revision > s.revision {
+			c.Revision = max(c.Revision, s.revision+1)
+			news = append(news, c)
+		}
+	}
+	for id := range servers {
+		news = append(news, Change{Revision: at, ServerGone: id})
+	}
+	for id := range hosts {
+		news = append(news, Change{Revision: at, HostGone: id})
+	}
+	for domain := range evacuated {
+		news = append(news, Change{Revision: at, Restored: domain})
+	}
+	slices.SortStableFunc(news, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	return news
 }
 
 // Expire removes entries that lapsed during an outage and did not come back.
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -159,6 +159,8 @@
 // Batch is an answer of a store.
 type Batch struct {
 	Changes []Change
+	// Since is the revision from which a listing tells the changes only; 0 means that it tells everything.
+	Since Revision
 	// Revision is the one from which a watch continues.
 	Revision Revision
 	// Age is the time since the platform's store itself was heard by the one that answers, zero for the store.
@@ -167,7 +169,8 @@
 
 // Store is what the catalog needs of the platform's store, or of another host that follows it.
 type Store interface {
-	// List reads all entries. The revision is that of the store before the first entry was read.
+	// List reads all entries, or from another host the changes since the revision of the view. The revision is that of the store before
+	// the first entry was read.
 	List(ctx context.Context) (Batch, error)
 	// Watch waits for changes after a revision, for at most wait. Errors: ErrCompacted, ErrWatchDeaf.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Batch, error)
--- a/internal/gateway/deafwatch_test.go
+++ b/internal/gateway/deafwatch_test.go
@@ -11,10 +11,10 @@
 // would serve by the old configuration until the watch ends after 30 s.
 func TestConfigurationArrivesThoughTheWatchIsDeaf(t *testing.T) {
 	h := startHost(t).configure()
+	h.eventually("a watch", func() bool { return h.kv.Waiting() == 1 })
 	h.kv.SetFault(kvstore.Deaf)
-	watches := h.kv.Calls("/kv-watch")
 	h.kv.Compact()
-	h.eventually("a new watch", func() bool { return h.kv.Calls("/kv-watch") > watches })
+	h.eventually("a listing without the history", func() bool { return strings.Contains(h.log.String(), "event=store_regained") })
 	h.kv.Put("op/config", strings.Replace(configuration, `"00000001"`, `"00000002"`, 1))
 	h.eventually("version 2", func() bool {
 		return strings.Contains(h.log.String(), "event=watch_deaf") && h.inForce("2")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 	g.follower = catalog.NewFollower(g.source, o.Log)
 	g.rootMetrics = telemetry.NewMetrics(map[string]string{"host": s.HostID, "failure_domain": s.FailureDomain})
 	g.metrics = newGatewayMetrics(g.rootMetrics.Scope)
-	g.register = &registration{registrar: o.Registrar, host: g.self, listed: g.isListed, failed: g.storeFailed, answered: g.storeAnswered, reads: g.source.Direct, log: o.Log}
+	g.register = &registration{registrar: o.Registrar, host: g.self, listed: g.isListed, failed: g.storeFailed, answered: g.storeAnswered, reads: g.source.Direct, reader: g.source.IsReader, deadHost: s.Bounds.DeadHost(), log: o.Log}
 	g.follower.Subscribe(g.configure)
 	return g, g.bind(o.Paths)
 }
--- a/internal/relay/roles.go
+++ b/internal/relay/roles.go
@@ -37,16 +37,41 @@
 	return own
 }
 
+// reads reports whether a host reads the store itself.
+func reads(view *catalog.View, self *catalog.Host) bool {
+	if len(view.Hosts) <= directHosts {
+		return true
+	}
+	order := readerOrder(view.Hosts, self.FailureDomain)
+	return slices.ContainsFunc(order[:min(readers, len(order))], func(h *catalog.Host) bool { return h.ID == self.ID })
+}
+
+// otherReaders returns the hosts of the other failure domains that read the store.
+func otherReaders(view *catalog.View, self *catalog.Host) []*catalog.Host {
+	byDomain := map[string]map[string]*catalog.Host{}
+	for id, h := range view.Hosts {
+		if h.FailureDomain == self.FailureDomain {
+			continue
+		}
+		if byDomain[h.FailureDomain] == nil {
+			byDomain[h.FailureDomain] = map[string]*catalog.Host{}
+		}
+		byDomain[h.FailureDomain][id] = h
+	}
+	var list []*catalog.Host
+	for domain, hosts := range byDomain {
+		list = append(list, readerOrder(hosts, domain)[:readers]...)
+	}
+	return list
+}
+
 // sources returns the hosts that this host follows, the first one preferred. It is empty if this host reads the store.
 func sources(view *catalog.View, self *catalog.Host, failed func(host string) bool) []*catalog.Host {
-	if len(view.Hosts) <= directHosts {
+	if reads(view, self) {
 		return nil
 	}
 	var list []*catalog.Host
 	for i, h := range readerOrder(view.Hosts, self.FailureDomain) {
-		if h.ID == self.ID && i < readers {
-			return nil
-		}
 		if i < readers+standbys && h.ID != self.ID && !failed(h.ID) {
 			list = append(list, h)
 		}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -37,6 +37,12 @@
 	maxAge = 1500 * time.Millisecond
 	// storeRetry is the time between two tries at a store that did not answer, while other hosts are asked.
 	storeRetry = 2 * time.Second
+	// otherDomains is the number of readers of other failure domains that a host asks when its own sources have no fresh news, and
+	// otherTimeout bounds each call: opening a connection and a call take two round trips between regions.
+	otherDomains = 2
+	otherTimeout = 500 * time.Millisecond
+	// followerStoreRetry is the longest time between two tries at the store by a host that follows others, while their news is old.
+	followerStoreRetry = 6 * time.Second
 	// fallbackHosts is the number of hosts that are asked in one call while the store does not answer.
 	fallbackHosts = 3
 )
@@ -56,6 +62,8 @@
 	failed  map[string]time.Time
 	// storeFailed is the time of the latest failed call to the store, zero after a good one.
 	storeFailed time.Time
+	// storeDueAt is the time of the next try at the store while the news of all others is old, zero while it is not.
+	storeDueAt time.Time
 	// following is the id of the host that answered last, empty for the store.
 	following string
 }
@@ -70,26 +78,50 @@
 // List implements catalog.Store. A host that read the store itself asks the store again: its watch was cut, and a host that
 // follows it knows no more than it did.
 func (s *Source) List(ctx context.Context) (catalog.Batch, error) {
-	args := WatchArgs{Everything: true}
+	known := s.view().Revision
+	changes := WatchArgs{After: known}
+	if !s.Direct() && known > 0 {
+		batch, ok, err := s.follows(ctx, changes, pollWait+callMargin)
+		switch {
+		case ok && err == nil:
+			batch.Since = known
+			return batch, nil
+		case err != nil && !errors.Is(err, catalog.ErrCompacted):
+			return batch, err
+		}
+	}
+	return s.listWhole(ctx, changes)
+}
+
+// listWhole lists everything, unless only other hosts can be asked and they keep the changes since what is known.
+func (s *Source) listWhole(ctx context.Context, changes WatchArgs) (catalog.Batch, error) {
+	whole := WatchArgs{Everything: true}
 	if !s.Direct() {
-		if batch, ok, err := s.followed(ctx, args, listTimeout); ok || err != nil {
+		if batch, ok, err := s.follows(ctx, whole, listTimeout); ok || err != nil {
 			return batch, err
 		}
 	}
 	if !s.storeAway() {
-		batch, err := s.store.List(ctx)
+		batch, err := s.listStore(ctx)
 		s.noteStore(ctx, err)
 		if err == nil || ctx.Err() != nil {
 			return batch, err
 		}
 	}
-	return s.fallback(ctx, args, listTimeout)
+	if changes.After > 0 {
+		batch, err := s.fallback(ctx, changes, pollWait+callMargin)
+		batch.Since = changes.After
+		if !errors.Is(err, catalog.ErrCompacted) {
+			return batch, err
+		}
+	}
+	return s.fallback(ctx, whole, listTimeout)
 }
 
 // Watch implements catalog.Store. A watch of the store that fails is an error, after which everything is read anew.
 func (s *Source) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) (catalog.Batch, error) {
 	args := WatchArgs{After: after, Wait: pollWait}
-	if batch, ok, err := s.followed(ctx, args, pollWait+callMargin); ok || err != nil {
+	if batch, ok, err := s.follows(ctx, args, pollWait+callMargin); ok || err != nil {
 		return batch, err
 	}
 	switch failed, away := s.storeFailure(), s.storeAway(); {
@@ -103,6 +135,83 @@
 	}
 }
 
+// follows asks the hosts that this one follows, and then readers of other failure domains. It reports false if the store is to be
+// read. If others answer and their news is old, the store is away: hundreds of hosts that asked it all the same, and listed everything
+// on its return, would cost more than the news is worth.
+func (s *Source) follows(ctx context.Context, args WatchArgs, timeout time.Duration) (catalog.Batch, bool, error) {
+	batch, fresh, err := s.followed(ctx, args, timeout)
+	if fresh {
+		s.heardFresh()
+	}
+	if fresh || err != nil || reads(s.view(), s.self) {
+		return batch, fresh, err
+	}
+	batch, heard, err := s.askOtherDomains(ctx, args)
+	switch {
+	case err != nil:
+		return batch, true, err
+	case heard && batch.Age <= maxAge:
+		s.heardFresh()
+		return batch, true, nil
+	case heard && !s.storeDue():
+		return catalog.Batch{}, false, errStoreAway
+	default:
+		return catalog.Batch{}, false, nil
+	}
+}
+
+// errStoreAway ends a call of a host that follows others while all of them have only old news.
+var errStoreAway = Error.New("no host has heard the store lately")
+
+// askOtherDomains asks readers of other failure domains what they know now, until one has fresh news. It reports whether any answered.
+func (s *Source) askOtherDomains(ctx context.Context, args WatchArgs) (catalog.Batch, bool, error) {
+	others := otherReaders(s.view(), s.self)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	args.Wait = 0
+	timeout := otherTimeout
+	if args.Everything {
+		timeout = listTimeout
+	}
+	var latest catalog.Batch
+	heard := false
+	for _, host := range others[:min(otherDomains, len(others))] {
+		if s.hasFailed(host.ID) {
+			continue
+		}
+		batch, err := s.ask(ctx, host.ID, host.PeerAddress, args, timeout)
+		switch {
+		case errors.Is(err, catalog.ErrCompacted):
+			return batch, true, err
+		case err != nil:
+			continue
+		case batch.Age <= maxAge:
+			return batch, true, nil
+		}
+		latest, heard = batch, true
+	}
+	return latest, heard, nil
+}
+
+// storeDue reports whether a host that follows others may try the store although their news is old: each does so now and then, for the
+// case that only they are cut off from it. Hosts that notice an outage together try at different times.
+func (s *Source) storeDue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	due := !s.storeDueAt.IsZero() && !now.Before(s.storeDueAt)
+	if due || s.storeDueAt.IsZero() {
+		s.storeDueAt = now.Add(rand.N(followerStoreRetry))
+	}
+	return due
+}
+
+// heardFresh notes that a host or the store had fresh news.
+func (s *Source) heardFresh() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeDueAt = time.Time{}
+}
+
 // errStoreDue ends a watch through other hosts, so that the store is tried again with a call that ends soon.
 var errStoreDue = Error.New("the store is due for another try")
 
@@ -131,6 +240,9 @@
 	return s.following == ""
 }
 
+// IsReader reports whether this host is one of those that read the store for others.
+func (s *Source) IsReader() bool { return reads(s.view(), s.self) }
+
 // fallback asks hosts at random, first the one that answered last. News that is old is still better than none for a host that
 // knows no configuration.
 func (s *Source) fallback(ctx context.Context, args WatchArgs, timeout time.Duration) (catalog.Batch, error) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -47,6 +47,8 @@
 	StopGraceMs int `toml:"stop_grace_ms" validate:"min=1,max=600000"`
 	// LookupTTLMs is the longest time to live of a look-up answer in milliseconds. Default 5000.
 	LookupTTLMs int `toml:"lookup_ttl_ms" validate:"min=1,max=600000"`
+	// StableWindowMs is the time after a disturbance from which the platform's bounds hold again, in milliseconds. Default 3000.
+	StableWindowMs int `toml:"stable_window_ms" validate:"min=1500,max=600000"`
 	// RetryRatio is the share of a service's requests that may be repeats, over all hosts. Default 0.2.
 	RetryRatio float64 `toml:"retry_ratio" validate:"min=0,max=10"`
 	// RetrySlack is the number of repeats that are allowed besides, over all hosts. Default 0.
@@ -63,11 +65,20 @@
 	return time.Duration(b.LookupTTLMs) * time.Millisecond
 }
 
+// DeadHost returns the longest time for which look-up answers may name a dead host: the platform allows deadHostSlack after its
+// stability window.
+func (b GatewayBounds) DeadHost() time.Duration {
+	return time.Duration(b.StableWindowMs)*time.Millisecond + deadHostSlack
+}
+
+const deadHostSlack = 3 * time.Second
+
 // Defaults of optional settings of a gateway.
 const (
-	defaultStopGraceMs = 6000
-	defaultLookupTTLMs = 5000
-	defaultRetryRatio  = 0.2
+	defaultStopGraceMs    = 6000
+	defaultLookupTTLMs    = 5000
+	defaultStableWindowMs = 3000
+	defaultRetryRatio     = 0.2
 )
 
 // LoadGateway reads and checks a settings file. The error names the file and, where known, line and key.
@@ -86,7 +97,7 @@
 // ParseGateway reads and checks the settings of a gateway.
 func ParseGateway(text []byte) (*Gateway, error) {
 	g := &Gateway{
-		Bounds: GatewayBounds{StopGraceMs: defaultStopGraceMs, LookupTTLMs: defaultLookupTTLMs, RetryRatio: defaultRetryRatio},
+		Bounds: GatewayBounds{StopGraceMs: defaultStopGraceMs, LookupTTLMs: defaultLookupTTLMs, StableWindowMs: defaultStableWindowMs, RetryRatio: defaultRetryRatio},
 		Log:    Log{Level: defaultLogLevel, TraceSample: defaultTraceSample},
 	}
 	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(g); err != nil {
--- a/internal/standin/kvstore/store.go
+++ b/internal/standin/kvstore/store.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -58,8 +59,13 @@
 	fault     Fault
 	// faultEnded is closed when a fault ends; cut is closed to end watches that wait.
 	faultEnded chan struct{}
-	cut        chan struct{}
-	calls      map[string]int
+	// copied and copiedAt are what reads get that allow old entries, nil for the current ones.
+	copied   map[string]Item
+	copiedAt uint64
+	cut      chan struct{}
+	// waiting is the number of watches that wait for a change.
+	waiting int
+	calls   map[string]int
 }
 
 type lease struct {
@@ -93,6 +99,13 @@
 	s.cut = make(chan struct{})
 }
 
+// FreezeCopies has reads that allow old entries answered as of now.
+func (s *Store) FreezeCopies() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied, s.copiedAt = maps.Clone(s.items), s.revision
+}
+
 // Put writes an entry as the operator or a backend server does.
 func (s *Store) Put(key, value string) {
 	s.mu.Lock()
@@ -115,6 +128,19 @@
 	return item, ok
 }
 
+// Waiting returns the number of watches that wait for a change.
+func (s *Store) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting
+}
+
+func (s *Store) addWaiting(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += n
+}
+
 // Calls returns the number of calls to a path, such as "/kv-watch".
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
@@ -231,7 +257,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answer := rangeAnswer{Items: []Item{}, AsOf: s.revision}
-	for key, item := range s.items {
+	items := s.items
+	if s.copied != nil && r.URL.Query().Get("StaleOk") == "1" {
+		items, answer.AsOf = s.copied, s.copiedAt
+	}
+	for key, item := range items {
 		if strings.HasPrefix(key, prefix) && key > after {
 			answer.Items = append(answer.Items, item)
 		}
@@ -257,6 +287,8 @@
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.addWaiting(1)
+	defer s.addWaiting(-1)
 	for {
 		s.mu.Lock()
 		if after < s.compacted {
