Send nothing that was decided before a pause of the process

A process or machine that stood still for seconds acted on what it believed before: a payment could go to a server that had left, or on a connection whose idle time was over, with an unknown outcome. The steady clock does not count the time for which a machine is suspended.

Package pause looks at the boot-time clock ten times a second, at each decision and before the first byte of each attempt. After more than a second it closes idle connections, has the store read anew and decides again what has not been sent.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// CloseIdle closes the connections that no attempt uses.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		s.close()
+	}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.Retain(func(string) bool { return false })
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -173,6 +173,16 @@
 	}
 }
 
+// Reread ends a listing or watch that runs, so that everything is read anew: after a pause of the process its connection to the store
+// may be dead, and news that waits there old.
+func (f *Follower) Reread() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut != nil {
+		f.cut()
+	}
+}
+
 func (f *Follower) revision() Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,6 +21,9 @@
 	unsentTries = 3
 )
 
+// errPaused ends an attempt whose decision was made before a pause of the process. It says nothing against the server.
+var errPaused = result.Fail(result.ConnectFailed, "the process was paused after the decision")
+
 // answer is the whole answer of a backend server.
 type answer struct {
 	status int
@@ -50,9 +53,11 @@
 		}
 		if v.failure != nil || v.again {
 			req.failed++
-			if req.refusedWithRoom(v.failure) {
+			switch {
+			case v.failure == errPaused:
+			case req.refusedWithRoom(v.failure):
 				req.refusedBy = append(req.refusedBy, decision.Server.ID)
-			} else {
+			default:
 				req.tried = append(req.tried, decision.Server.ID)
 			}
 		}
@@ -114,6 +119,7 @@
 // place decides where the request goes and counts it there.
 func (req *request) place() (placement.Decision, *result.Failure) {
 	g := req.g
+	req.epoch = g.pauses.Check()
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -147,10 +153,17 @@
 		ID: d.Server.ID, Service: req.target, FailureDomain: d.Server.FailureDomain, Address: d.Server.Address,
 		Slots: d.Server.Slots, MaxConnections: req.connections(),
 	}
+	epoch := req.epoch
 	// A late copy of the refusal would carry this request's id, and would be taken for the promise that this attempt did not run.
 	again := slices.Contains(req.refusedBy, d.Server.ID)
 	res := g.backends.Do(ctx, service, server, &backend.Request{
 		ID: req.info.ID, ServerID: d.Server.ID, Method: req.method, Path: req.path, Header: req.header, Body: req.body,
+		BeforeWrite: func() error {
+			if g.pauses.Check() != epoch {
+				return errPaused
+			}
+			return nil
+		},
 		Repeatable: req.route.Idempotent, Fresh: again, Bodies: req.bodies, Budget: max(time.Millisecond, time.Until(req.deadline)-d.RoundTrip),
 	})
 	info := g.dialect.Answer(res.Header)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
 	"github.com/foxtailtack/foxtailtack/internal/guard"
 	"github.com/foxtailtack/foxtailtack/internal/listener"
+	"github.com/foxtailtack/foxtailtack/internal/pause"
 	"github.com/foxtailtack/foxtailtack/internal/placement"
 	"github.com/foxtailtack/foxtailtack/internal/relay"
 	"github.com/foxtailtack/foxtailtack/internal/settings"
@@ -51,7 +52,7 @@
 	Ready  string
 }
 
-// Options holds what a Gateway works with. All fields are required.
+// Options holds what a Gateway works with. All fields but Clock are required.
 type Options struct {
 	Settings  *settings.Gateway
 	Dialect   Dialect
@@ -61,6 +62,8 @@
 	Log       zerolog.Logger
 	// DroppedLines returns the number of log lines that were dropped.
 	DroppedLines func() uint64
+	// Clock returns the time since the machine's start, suspended time included. Nil stands for the machine's clock.
+	Clock func() time.Duration
 }
 
 // Gateway is an entry host process.
@@ -72,6 +75,7 @@
 	source   *relay.Source
 	follower *catalog.Follower
 	backends *backend.Client
+	pauses   *pause.Detector
 	bodies   *bodies.Budget
 	register *registration
 	metrics  *gatewayMetrics
@@ -117,6 +121,7 @@
 	}
 	g.source = relay.NewSource(o.Store, g.self, s.Bootstrap, func() *catalog.View { return g.follower.View() }, o.Log)
 	g.follower = catalog.NewFollower(g.source, o.Log)
+	g.pauses = pause.New(o.Clock, g.paused)
 	g.rootMetrics = telemetry.NewMetrics(map[string]string{"host": s.HostID, "failure_domain": s.FailureDomain})
 	g.metrics = newGatewayMetrics(g.rootMetrics.Scope)
 	g.register = &registration{registrar: o.Registrar, host: g.self, listed: g.isListed, failed: g.storeFailed, answered: g.storeAnswered, reads: g.source.Direct, reader: g.source.IsReader, deadHost: s.Bounds.DeadHost(), log: o.Log}
@@ -141,6 +146,13 @@
 	use(g.table)
 }
 
+// paused is called when the process stood still for a while. Open connections may have ended meanwhile, and what it believes is old.
+func (g *Gateway) paused(length time.Duration) {
+	g.log.Warn().Dur("paused_ms", length).Int64("active", g.active.Load()).Msg("process_was_paused")
+	g.backends.CloseIdle()
+	g.follower.Reread()
+}
+
 // isListed reports whether the catalog has this process's entry.
 func (g *Gateway) isListed() bool {
 	h := g.follower.View().Hosts[g.self.ID]
@@ -251,6 +263,7 @@
 	go guard.Loop(background, g.log, "follower", g.follower.Run)
 	go guard.Loop(background, g.log, "expiry", g.follower.RunExpiry)
 	go guard.Loop(background, g.log, "distances", g.measureDistances)
+	go guard.Loop(background, g.log, "pauses", g.pauses.Run)
 	go g.metrics.reportDropped(background, g.dropped)
 	registered, leave := context.WithCancel(background)
 	defer leave()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/bodies"
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
 	"github.com/foxtailtack/foxtailtack/internal/guard"
+	"github.com/foxtailtack/foxtailtack/internal/pause"
 	"github.com/foxtailtack/foxtailtack/internal/placement"
 	"github.com/foxtailtack/foxtailtack/internal/result"
 )
@@ -72,6 +73,8 @@
 	kept *answer
 	// last is the latest decision.
 	last placement.Decision
+	// epoch is the one in which the latest decision was made.
+	epoch pause.Epoch
 	// mayHaveRun is true once an attempt ended without an answer or a promise.
 	mayHaveRun bool
 	// answering is true once an answer or a refusal is being written.
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -120,6 +120,11 @@
 }
 
 func startHostWith(t *testing.T, kv *kvstore.Store, dialect gateway.Dialect) *host {
+	t.Helper()
+	return startHostAt(t, kv, dialect, nil)
+}
+
+func startHostAt(t *testing.T, kv *kvstore.Store, dialect gateway.Dialect, clock func() time.Duration) *host {
 	t.Helper()
 	store := httptest.NewServer(kv)
 	t.Cleanup(store.Close)
@@ -138,7 +143,7 @@
 	client := platform.NewStore(s.StoreAddress)
 	h.process, err = gateway.New(gateway.Options{
 		Settings: s, Dialect: dialect, Paths: gateway.Paths{Lookup: platform.LookupPath, Ready: platform.ReadyPath},
-		Store: client, Registrar: client, Log: log, DroppedLines: func() uint64 { return 0 },
+		Store: client, Registrar: client, Log: log, DroppedLines: func() uint64 { return 0 }, Clock: clock,
 	})
 	if err != nil {
 		t.Fatal(err)
