--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -8,8 +8,8 @@
 	"github.com/foxtailtack/foxtailtack/internal/standin/kvstore"
 )
 
-// Hosts read copies of the store at their start, which may be seconds old. A server that has left since, and a route that is no more,
-// must not be in use again.
+// Copies of the store may be seconds old. What a host believes after its start must not come from them: a server that has left since, or a
+// route that is no more, would be in use again.
 func TestOldCopiesBringNothingBack(t *testing.T) {
 	for _, compacted := range []bool{false, true} {
 		left, stays := newServer(t, "i-9left", nil), newServer(t, "i-1stays", nil)
--- a/internal/relay/deafwatch.go
+++ b/internal/relay/deafwatch.go
@@ -21,30 +21,10 @@
 // Store is the platform's store.
 type Store interface {
 	catalog.Store
-	// ListCopy reads all entries from copies, which may be some seconds old. The revision is that of the oldest copy.
-	ListCopy(ctx context.Context) (catalog.Batch, error)
 	// Reached returns a revision that the store has reached, perhaps some seconds ago.
 	Reached(ctx context.Context) (catalog.Revision, error)
 }
 
-// listStore reads everything from copies of the store, which cost a tenth of the store itself, and what has changed since from the store.
-// Without the second step a server that has left, or a configuration that is no more, would be in force again for some seconds.
-func (s *Source) listStore(ctx context.Context) (catalog.Batch, error) {
-	batch, err := s.store.ListCopy(ctx)
-	if err != nil {
-		return catalog.Batch{}, err
-	}
-	news, err := s.store.Watch(ctx, batch.Revision, 0)
-	if err != nil {
-		// The history since the copies is gone, or the watch tells nothing.
-		s.log.Info().Uint64("revision", uint64(batch.Revision)).Err(err).Msg("copies_too_old")
-		return s.store.List(ctx)
-	}
-	batch.Changes = append(batch.Changes, news.Changes...)
-	batch.Revision = max(batch.Revision, news.Revision)
-	return batch, nil
-}
-
 // watchStore watches the store, and ends a watch that stays open and tells nothing though there are changes: one that begins while
 // the store drops its history does so for ever, and answers to other calls do not show it. Errors: catalog.ErrCompacted,
 // catalog.ErrWatchDeaf.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -76,8 +76,7 @@
 	return catalog.Batch{Revision: after}, s.err
 }
 
-func (s *fakeStore) ListCopy(ctx context.Context) (catalog.Batch, error) { return s.List(ctx) }
-func (s *fakeStore) Reached(context.Context) (catalog.Revision, error)   { return 0, nil }
+func (s *fakeStore) Reached(context.Context) (catalog.Revision, error) { return 0, nil }
 
 // upstream is what another host knows.
 type upstream struct {
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -102,7 +102,7 @@
 		}
 	}
 	if !s.storeAway() {
-		batch, err := s.listStore(ctx)
+		batch, err := s.store.List(ctx)
 		s.noteStore(ctx, err)
 		if err == nil || ctx.Err() != nil {
 			return batch, err
