Run repeatable requests before the ones sent before them are answered

One took 1.7 s from its caller to its server without any server being busy.

Ruled out: placement (the load of the servers was below their slots), connections to servers (1 ms).

The listener follows the requests in what a connection receives. While one without a body runs, up to four behind it that may be repeated are handed to the handler; their answers are kept and sent in turn. At a stop all that run are answered and none is begun; a caller that leaves ends them all; behind a request with a body, which may be refused with an answer that closes the connection, none is begun.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,7 +206,11 @@
 		{"ready_address", g.settings.ReadyAddress, ready},
 		{"admin_address", g.settings.AdminAddress, admin},
 	} {
-		server, err := listener.Listen(listener.Options{Name: l.name, Address: l.address, Handler: l.handler, MaxHeaderBytes: maxHeaderBytes, Log: g.log})
+		options := listener.Options{Name: l.name, Address: l.address, Handler: l.handler, MaxHeaderBytes: maxHeaderBytes, Log: g.log}
+		if l.name == callerListener {
+			options.Early = g.mayRunEarly
+		}
+		server, err := listener.Listen(options)
 		if err != nil {
 			return err
 		}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -179,6 +179,16 @@
 	return req.view.Configuration
 }
 
+// mayRunEarly reports whether a request may run before those sent before it on its connection are answered.
+func (g *Gateway) mayRunEarly(r *http.Request) bool {
+	configuration := g.follower.View().Configuration
+	if configuration == nil {
+		return false
+	}
+	route := configuration.Route(hostName(r.Host), r.URL.EscapedPath())
+	return route != nil && route.Idempotent
+}
+
 // hostName removes the port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- /dev/null
+++ b/internal/gateway/pipeline_test.go
@@ -0,0 +1,53 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Requests that callers send behind each other on one connection must reach servers without waiting for the answers before, if they
+// may be repeated. Others must wait: their callers send them again if an answer before closes the connection.
+func TestRepeatableRequestsDoNotWaitForTheirTurn(t *testing.T) {
+	for path, most := range map[string]int64{"/look/x": 3, "/pay/x": 1} {
+		var running, peak atomic.Int64
+		s := newServer(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+			n := running.Add(1)
+			defer running.Add(-1)
+			if n > peak.Load() {
+				peak.Store(n)
+			}
+			time.Sleep(200 * time.Millisecond)
+			answer(w, r, http.StatusOK)
+		})
+		h := startHost(t, s).configure()
+		conn, err := net.Dial("tcp", h.process.Address("caller_address").String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(waitLimit))
+		for i := range 3 {
+			_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: id-%d\r\nX-Deadline-Ms: 2500\r\n\r\n", path, i)
+		}
+		answers := bufio.NewReader(conn)
+		for i := range 3 {
+			res, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+			if got := res.Header.Get("X-Request-Id"); res.StatusCode != http.StatusOK || got != fmt.Sprintf("id-%d", i) {
+				t.Errorf("%s: answer %d has status %d and id %s", path, i, res.StatusCode, got)
+			}
+		}
+		_ = conn.Close()
+		if n := peak.Load(); n != most {
+			t.Errorf("%s: %d requests at the server at once, want %d", path, n, most)
+		}
+	}
+}
--- a/internal/listener/connections.go
+++ b/internal/listener/connections.go
@@ -15,6 +15,8 @@
 type connections struct {
 	mu   sync.Mutex
 	open map[*trackedConn]struct{}
+	// runner runs requests early, nil if none are.
+	runner *earlyRunner
 	// ending is the number of connections that linger.
 	ending atomic.Int64
 }
@@ -26,7 +28,7 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		conn.ending = &c.ending
+		conn.ending, conn.runner = &c.ending, c.runner
 		c.open[conn] = struct{}{}
 	case http.StateIdle:
 		conn.answered()
@@ -74,13 +76,23 @@
 	// leave cancels the request that runs, nil while none does.
 	leave context.CancelFunc
 	ahead readAhead
+	// runner runs requests early, nil if none are. scanner finds them in what is received, and waiting holds those found but not begun.
+	runner  *earlyRunner
+	scanner scanner
+	waiting []scanned
+	// served is the number of the latest request that the server has read; behindBody is true if that has a body.
+	served     int
+	behindBody bool
+	// early holds the requests that run before the server has read them, by number.
+	early map[int]*early
 }
 
 // Read does not return what it has read after the connection was closed as idle: the server would pass it on.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n := c.takeAhead(p)
 	var err error
-	if n == 0 {
+	known := n > 0
+	if !known {
 		n, err = c.TCPConn.Read(p)
 	}
 	c.mu.Lock()
@@ -89,6 +101,9 @@
 		return 0, net.ErrClosed
 	}
 	c.noteEnd(err)
+	if !known {
+		c.scan(p[:n])
+	}
 	if n > 0 {
 		c.idle = false
 		c.startAhead(len(p))
@@ -100,25 +115,28 @@
 func (c *trackedConn) noteEnd(err error) {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.callerEnded = true
+		c.cancelEarly()
 	}
 }
 
 // begin notes that a request runs, which leave cancels. False means that the connection was closed as idle before: the request was
 // read together with the one before, and counts as not read.
-func (c *trackedConn) begin(leave context.CancelFunc) bool {
+func (c *trackedConn) begin(leave context.CancelFunc, hasBody bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
 		return false
 	}
-	c.idle, c.leave = false, leave
+	c.idle, c.leave, c.behindBody = false, leave, hasBody
+	c.served++
+	c.startEarly()
 	return true
 }
 
 func (c *trackedConn) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.idleSince = true, time.Now()
+	c.idle, c.idleSince = len(c.early) == 0, time.Now()
 }
 
 // closeIfIdle reports whether the connection was idle for a time and is closed.
--- a/internal/listener/linger.go
+++ b/internal/listener/linger.go
@@ -26,6 +26,7 @@
 
 func (c *trackedConn) closeLocked() {
 	c.close.Do(func() {
+		c.cancelEarly()
 		if c.callerEnded || c.CloseWrite() != nil {
 			c.closeNow()
 			return
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -37,6 +37,9 @@
 	Name    string
 	Address netip.AddrPort
 	Handler http.Handler
+	// Early reports whether a request may run before those that were sent before it on its connection are answered: it may be repeated,
+	// and its caller may leave without its answer. Nil runs all in turn. Answers are always sent in turn.
+	Early func(r *http.Request) bool
 	// MaxConnections bounds the open connections; 0 sets no bound.
 	MaxConnections int
 	// MaxHeaderBytes bounds a request header; 0 stands for the default of net/http, 1 MiB.
@@ -69,6 +72,10 @@
 
 func newListener(o Options, listen net.Listener) *Listener {
 	l := &Listener{name: o.Name, listen: listen, open: &connections{open: map[*trackedConn]struct{}{}}, served: make(chan struct{})}
+	if o.Early != nil {
+		may := func(r *http.Request) bool { return !l.closing.Load() && o.Early(r) }
+		l.open.runner = &earlyRunner{may: may, handler: o.Handler}
+	}
 	l.server = &http.Server{
 		Handler: l.track(o.Handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
 		ErrorLog: telemetry.HTTPErrorLog(o.Log), ConnState: l.open.changed,
@@ -92,13 +99,18 @@
 		conn := r.Context().Value(connKey{}).(*trackedConn)
 		ctx, leave := context.WithCancel(r.Context())
 		defer leave()
-		if !conn.begin(leave) {
+		if !conn.begin(leave, r.ContentLength != 0) {
 			panic(http.ErrAbortHandler)
 		}
 		defer conn.finish()
-		if l.closing.Load() {
+		begun := conn.takeEarly(r)
+		if l.closing.Load() && !conn.hasEarly() {
 			w.Header().Set("Connection", "close")
 		}
+		if begun != nil {
+			begun.deliver(ctx, w)
+			return
+		}
 		handler.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -41,13 +41,18 @@
 func noContent(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }
 
 func startDrainingWith(t *testing.T, accept chan struct{}, limit int, handler http.HandlerFunc) *draining {
+	t.Helper()
+	return startDrainingEarly(t, accept, limit, handler, nil)
+}
+
+func startDrainingEarly(t *testing.T, accept chan struct{}, limit int, handler http.HandlerFunc, early func(r *http.Request) bool) *draining {
 	t.Helper()
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	slow := &slowListener{Listener: newBacklogListener(tcp.(*net.TCPListener), limit, zerolog.Nop()), release: accept}
-	d := &draining{t: t, l: newListener(Options{Name: "test", Handler: handler, Log: zerolog.Nop()}, slow), address: tcp.Addr().String(), accept: accept, drained: make(chan error, 1)}
+	d := &draining{t: t, l: newListener(Options{Name: "test", Handler: handler, Early: early, Log: zerolog.Nop()}, slow), address: tcp.Addr().String(), accept: accept, drained: make(chan error, 1)}
 	go func() { _ = d.l.Serve() }()
 	t.Cleanup(func() { _ = d.l.Close() })
 	return d
--- a/internal/listener/readahead.go
+++ b/internal/listener/readahead.go
@@ -45,6 +45,7 @@
 		n, err := c.TCPConn.Read(buffer)
 		c.mu.Lock()
 		c.ahead.bytes = append(c.ahead.bytes, buffer[:n]...)
+		c.scan(buffer[:n])
 		full := len(c.ahead.bytes) >= mostAhead
 		c.noteEnd(err)
 		if c.callerEnded && c.leave != nil {
