Run nothing early that the server might read in another way

The scanner gives up at anything that it might divide in another way than the server (lone line feeds, folded lines, blanks before a colon, several lengths, codings), and a request runs early only if the one that runs now was found just as the server has read it.

--- a/internal/listener/connections.go
+++ b/internal/listener/connections.go
@@ -80,9 +80,14 @@
 	runner  *earlyRunner
 	scanner scanner
 	waiting []scanned
-	// served is the number of the latest request that the server has read; behindBody is true if that has a body.
+	// current is the latest request that the server has read, served its number; behindBody is true if it has a body. found is the latest
+	// request up to that number in what was received.
+	current    *http.Request
 	served     int
 	behindBody bool
+	found      scanned
+	// agreed is the number of the latest request that was found as the server has read it.
+	agreed int
 	// early holds the requests that run before the server has read them, by number.
 	early map[int]*early
 }
@@ -121,15 +126,14 @@
 
 // begin notes that a request runs, which leave cancels. False means that the connection was closed as idle before: the request was
 // read together with the one before, and counts as not read.
-func (c *trackedConn) begin(leave context.CancelFunc, hasBody bool) bool {
+func (c *trackedConn) begin(r *http.Request, leave context.CancelFunc) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
 		return false
 	}
-	c.idle, c.leave, c.behindBody = false, leave, hasBody
+	c.idle, c.leave, c.current, c.behindBody = false, leave, r, r.ContentLength != 0
 	c.served++
-	c.startEarly()
 	return true
 }
 
--- a/internal/listener/early.go
+++ b/internal/listener/early.go
@@ -80,11 +80,6 @@
 	_, _ = w.Write(e.body.Bytes())
 }
 
-// matches reports whether the early request is the one that the server has read.
-func (e *early) matches(r *http.Request) bool {
-	return e.request.Method == r.Method && e.request.RequestURI == r.RequestURI && e.request.Host == r.Host && reflect.DeepEqual(e.request.Header, r.Header)
-}
-
 // earlyRunner tells which requests may run before those sent before them are answered, and what runs them.
 type earlyRunner struct {
 	may     func(r *http.Request) bool
@@ -105,14 +100,42 @@
 	for len(c.waiting) > 0 {
 		next := c.waiting[0]
 		if next.number > c.served {
-			if next.hasBody || c.leave == nil || c.behindBody || c.callerEnded || len(c.early) >= mostEarly || !c.runEarly(next) {
+			if next.hasBody || c.leave == nil || c.behindBody || c.callerEnded || len(c.early) >= mostEarly || !c.inStep() || !c.runEarly(next) {
 				return
 			}
+		} else {
+			c.found = next
 		}
 		c.waiting = c.waiting[1:]
 	}
 }
 
+// inStep reports whether the request that runs is the one that was found with its number, under the lock. Otherwise the server divides
+// the bytes in another way, and what was found behind it may be no request.
+func (c *trackedConn) inStep() bool {
+	if c.agreed == c.served {
+		return true
+	}
+	found, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(c.found.head)))
+	if err != nil || c.found.number != c.served || !sameRequest(found, c.current) {
+		c.fallOutOfStep()
+		return false
+	}
+	c.agreed = c.served
+	return true
+}
+
+// fallOutOfStep ends what runs early and begins nothing more on the connection, under the lock.
+func (c *trackedConn) fallOutOfStep() {
+	c.cancelEarly()
+	c.early, c.waiting, c.scanner.lost = nil, nil, true
+}
+
+// sameRequest reports whether two readings of a head are of the same request.
+func sameRequest(a, b *http.Request) bool {
+	return a.Method == b.Method && a.RequestURI == b.RequestURI && a.Host == b.Host && a.ContentLength == b.ContentLength && reflect.DeepEqual(a.Header, b.Header)
+}
+
 // runEarly reports whether it runs a request, under the lock.
 func (c *trackedConn) runEarly(next scanned) bool {
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(next.head)))
@@ -129,22 +152,21 @@
 	return true
 }
 
-// takeEarly returns the early run of the request that the server has read, nil if there is none.
+// takeEarly returns the early run of the request that the server has read, nil if there is none, and begins those behind it.
 func (c *trackedConn) takeEarly(r *http.Request) *early {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.early[c.served]
-	if e == nil {
-		return nil
-	}
-	delete(c.early, c.served)
-	if !e.matches(r) {
-		// The server divides the bytes in another way, so none of the early runs can be told from the others.
-		e.cancel()
-		c.cancelEarly()
-		c.early, c.waiting, c.scanner.lost = nil, nil, true
-		return nil
+	if e != nil {
+		delete(c.early, c.served)
+		if !sameRequest(e.request, r) {
+			e.cancel()
+			c.fallOutOfStep()
+			return nil
+		}
+		c.agreed = c.served
 	}
+	c.startEarly()
 	return e
 }
 
--- a/internal/listener/early_test.go
+++ b/internal/listener/early_test.go
@@ -260,3 +260,68 @@
 	leave()
 	e.deliver(ctx, &early{header: http.Header{}})
 }
+
+// A request hidden in a body must never run: the server and the scanner have to divide the bytes in the same way.
+func TestHiddenRequestsNeverRun(t *testing.T) {
+	hidden := "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+	body := hidden + hidden + hidden
+	for _, head := range []string{
+		"POST /a HTTP/1.1\nHost: h\nContent-Length: %d\n\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length : %d\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +%d\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: %d\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nX: y\r\n Content-Length: 0\r\nContent-Length: %d\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\nTransfer-Encoding: identity\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nX: y\nContent-Length: %d\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: h\r\nContent-Length:%d\r\n\r\n",
+		"POST /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nContent-Length: %d\r\n\r\n",
+	} {
+		for _, piece := range []int{1 << 20, 7} {
+			var ran atomic.Int64
+			d := startDrainingEarly(t, open(), 0, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/hidden" {
+					ran.Add(1)
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				time.Sleep(5 * time.Millisecond)
+				_, _ = io.WriteString(w, r.URL.Path)
+			}, always)
+			conn := d.dial()
+			text := bytes.NewBufferString(fmt.Sprintf(head, len(body)) + body + get("/b") + get("/c") + get("/d"))
+			for text.Len() > 0 {
+				_, _ = conn.Write(text.Next(piece))
+			}
+			time.Sleep(50 * time.Millisecond)
+			_ = conn.Close()
+			if n := ran.Load(); n > 0 {
+				t.Errorf("%q in pieces of %d: hidden requests ran %d times", head, piece, n)
+			}
+		}
+	}
+}
+
+// FuzzScannerDividesAsTheServer compares the scanner with the reader that the server uses.
+func FuzzScannerDividesAsTheServer(f *testing.F) {
+	f.Add([]byte(get("/a") + post("/b", "body") + get("/c")))
+	f.Add([]byte("POST / HTTP/1.1\nHost: h\nContent-Length: 20\n\n" + get("/x")))
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\ncontent-length: 3\r\n\r\nabc" + get("/x")))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var s scanner
+		found := s.scan(text)
+		reader := bufio.NewReader(bytes.NewReader(text))
+		for _, next := range found {
+			mine, mineErr := http.ReadRequest(bufio.NewReader(bytes.NewReader(next.head)))
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				// The server answers 400 and closes, so nothing behind it is served.
+				return
+			}
+			if mineErr != nil || !sameRequest(mine, r) {
+				t.Fatalf("request %d: %q divided in another way", next.number, next.head)
+			}
+			if n, err := io.Copy(io.Discard, r.Body); err != nil || (n > 0) != next.hasBody {
+				return
+			}
+		}
+	})
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -99,7 +99,7 @@
 		conn := r.Context().Value(connKey{}).(*trackedConn)
 		ctx, leave := context.WithCancel(r.Context())
 		defer leave()
-		if !conn.begin(leave, r.ContentLength != 0) {
+		if !conn.begin(r, leave) {
 			panic(http.ErrAbortHandler)
 		}
 		defer conn.finish()
--- a/internal/listener/scanner.go
+++ b/internal/listener/scanner.go
@@ -64,21 +64,31 @@
 }
 
 // bodyLength returns the length of the body that follows a head. It reports false if the end of the body cannot be told, or nothing
-// may follow it.
+// may follow it. What the server might read in another way counts as unknown: a request hidden in a body would else run.
 func bodyLength(head []byte) (int64, bool) {
-	length := int64(0)
-	for line := range bytes.SplitSeq(head[:len(head)-len(headEnd)], lineEnd) {
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok {
+	length, seen := int64(0), false
+	lines := bytes.Split(head[:len(head)-len(headEnd)], lineEnd)
+	for i, line := range lines {
+		if bytes.ContainsAny(line, "\r\n\x00") {
+			return 0, false
+		}
+		if i == 0 {
+			if !bytes.HasSuffix(line, []byte(" HTTP/1.1")) {
+				return 0, false
+			}
 			continue
 		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+			return 0, false
+		}
 		switch {
 		case bytes.EqualFold(name, []byte("Content-Length")):
-			n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			if err != nil || n < 0 || length > 0 {
+			n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 62)
+			if err != nil || seen {
 				return 0, false
 			}
-			length = n
+			length, seen = int64(n), true
 		case bytes.EqualFold(name, []byte("Connection")):
 			if !bytes.EqualFold(bytes.TrimSpace(value), []byte("keep-alive")) {
 				return 0, false
