Run requests early only while servers have room

Requests that wait on their connection hold no place at a server, and run in turn they push fewer objects out.

A request runs early only if the servers of its service in the host's region have less work than slots, as far as the host knows.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -179,14 +179,24 @@
 	return req.view.Configuration
 }
 
-// mayRunEarly reports whether a request may run before those sent before it on its connection are answered.
+// mayRunEarly reports whether a request may run before those sent before it on its connection are answered: it may be repeated, and
+// servers have room.
 func (g *Gateway) mayRunEarly(r *http.Request) bool {
 	configuration := g.follower.View().Configuration
 	if configuration == nil {
 		return false
 	}
 	route := configuration.Route(hostName(r.Host), r.URL.EscapedPath())
-	return route != nil && route.Idempotent
+	if route == nil || !route.Idempotent {
+		return false
+	}
+	now, full := time.Now(), false
+	g.withTable(func(t *placement.Table) {
+		for _, target := range route.Targets {
+			full = full || t.IsFull(target.Service, now)
+		}
+	})
+	return !full
 }
 
 // hostName removes the port.
--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -12,9 +12,14 @@
 )
 
 // Requests that callers send behind each other on one connection must reach servers without waiting for the answers before, if they
-// may be repeated. Others must wait: their callers send them again if an answer before closes the connection.
+// may be repeated. Others must wait: their callers send them again if an answer before closes the connection. While servers are full all
+// wait: run early, they kept the servers full after all hosts had been killed.
 func TestRepeatableRequestsDoNotWaitForTheirTurn(t *testing.T) {
-	for path, most := range map[string]int64{"/look/x": 3, "/pay/x": 1} {
+	for _, c := range []struct {
+		path, load string
+		most       int64
+	}{{"/look/x", "1,0,3", 3}, {"/pay/x", "1,0,3", 1}, {"/look/x", "3,3,3", 1}} {
+		path, most := c.path, c.most
 		var running, peak atomic.Int64
 		s := newServer(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
 			n := running.Add(1)
@@ -23,9 +28,12 @@
 				peak.Store(n)
 			}
 			time.Sleep(200 * time.Millisecond)
-			answer(w, r, http.StatusOK)
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			w.Header().Set("X-Server-Stamp", "stamp")
+			w.Header().Set("X-Server-Load", c.load)
 		})
 		h := startHost(t, s).configure()
+		h.send("GET", "/look/x", "first", "")
 		conn, err := net.Dial("tcp", h.process.Address("caller_address").String())
 		if err != nil {
 			t.Fatal(err)
@@ -47,7 +55,7 @@
 		}
 		_ = conn.Close()
 		if n := peak.Load(); n != most {
-			t.Errorf("%s: %d requests at the server at once, want %d", path, n, most)
+			t.Errorf("%s, load %s: %d requests at the server at once, want %d", path, c.load, n, most)
 		}
 	}
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -214,6 +214,14 @@
 	return float64(others * t.state(entry).load.own)
 }
 
+// IsFull reports whether the servers of a service in this host's region have as much work as slots, as far as this host knows. It answers
+// callers who send many requests behind each other: while servers are full, what waits on its connection is no burden to them, and
+// objects that are asked for one after the other push each other out less.
+func (t *Table) IsFull(service string, now time.Time) bool {
+	u := t.usual[service+" "+t.region()]
+	return u != nil && u.count > 0 && u.at(now) >= 1
+}
+
 func (t *Table) usualFor(entry *catalog.ServerEntry) *usual {
 	return valueOf(t.usual, entry.Service+" "+t.regions[entry.FailureDomain])
 }
