--- a/internal/listener/early_test.go
+++ b/internal/listener/early_test.go
@@ -38,19 +38,7 @@
 			}
 			_, _ = io.WriteString(w, r.URL.Path)
 		}, always)
-		conn := d.dial()
-		for i := range 4 {
-			write(t, conn, get(fmt.Sprintf("/%d", i)))
-			if apart {
-				time.Sleep(5 * time.Millisecond)
-			}
-		}
-		answers := bufio.NewReader(conn)
-		for i := range 4 {
-			if body, _ := readAnswer(t, answers); body != fmt.Sprintf("/%d", i) {
-				t.Fatalf("apart %v: answer %d is for %s", apart, i, body)
-			}
-		}
+		d.checkOrder(4, apart)
 	}
 }
 
--- a/internal/listener/pipeline_test.go
+++ b/internal/listener/pipeline_test.go
@@ -47,18 +47,24 @@
 			}
 			_, _ = io.WriteString(w, r.URL.Path)
 		})
-		conn := d.dial()
-		for i := range 5 {
-			write(t, conn, get(fmt.Sprintf("/%d", i)))
-			if apart {
-				time.Sleep(5 * time.Millisecond)
-			}
+		d.checkOrder(5, apart)
+	}
+}
+
+// checkOrder sends a number of requests for /0, /1 and so on, at once or one after the other, and reads their answers.
+func (d *draining) checkOrder(count int, apart bool) {
+	d.t.Helper()
+	conn := d.dial()
+	for i := range count {
+		write(d.t, conn, get(fmt.Sprintf("/%d", i)))
+		if apart {
+			time.Sleep(5 * time.Millisecond)
 		}
-		answers := bufio.NewReader(conn)
-		for i := range 5 {
-			if body, _ := readAnswer(t, answers); body != fmt.Sprintf("/%d", i) {
-				t.Fatalf("apart %v: answer %d is for %s", apart, i, body)
-			}
+	}
+	answers := bufio.NewReader(conn)
+	for i := range count {
+		if body, _ := readAnswer(d.t, answers); body != fmt.Sprintf("/%d", i) {
+			d.t.Fatalf("apart %v: answer %d is for %s", apart, i, body)
 		}
 	}
 }
