Let a host that is due try the store although the news of others is old

Found by the tests that this commit adds: a listing asked the others twice, and the second time the try at the store was not due any more, so a host that is cut off from all hosts with fresh news never tried the store.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -155,7 +155,7 @@
 
 // A host that read the store and whose watch was cut must list from the store: those that follow others know no more.
 func TestReaderListsFromTheStore(t *testing.T) {
-	view, self := large(serve(t, &upstream{batch: catalog.Batch{Revision: 9}}))
+	view, self := withReaders(serve(t, &upstream{batch: catalog.Batch{Revision: 9}}))
 	store := &fakeStore{}
 	s := NewSource(store, self, nil, func() *catalog.View { return view }, zerolog.Nop())
 	if _, err := s.List(context.Background()); err != nil || store.lists != 1 {
@@ -195,7 +195,7 @@
 
 // What a relay has compacted must be read anew instead of waiting for it.
 func TestCompactedRelayIsTold(t *testing.T) {
-	view, self := large(serve(t, &upstream{err: catalog.ErrCompacted}))
+	view, self := withReaders(serve(t, &upstream{err: catalog.ErrCompacted}))
 	s := NewSource(&fakeStore{}, self, nil, func() *catalog.View { return view }, zerolog.Nop())
 	if _, err := s.Watch(context.Background(), 7, time.Second); !errors.Is(err, catalog.ErrCompacted) {
 		t.Fatalf("got %v, want ErrCompacted", err)
@@ -229,3 +229,58 @@
 	}
 	return catalog.Batch{Revision: 5}
 }
+
+// withReaders returns a view of a large deployment in which the hosts that read the store have the given addresses, the first one in the failure
+// domain of a host that follows it.
+func withReaders(readers ...netip.AddrPort) (*catalog.View, *catalog.Host) {
+	view := &catalog.View{Hosts: hosts(directHosts+9, len(readers)), Revision: 7, Configuration: &catalog.Configuration{Version: 1}}
+	for i, address := range readers {
+		readerOrder(view.Hosts, fmt.Sprintf("d%d", i))[0].PeerAddress = address
+	}
+	order := readerOrder(view.Hosts, "d0")
+	return view, order[len(order)-1]
+}
+
+// On the return of the store each of hundreds of hosts listed everything, and before it each of them tried. While readers of other failure
+// domains have only old news too, a host that follows others leaves the store alone.
+func TestFollowersLeaveAStoreAloneThatNobodyHears(t *testing.T) {
+	old := &upstream{batch: catalog.Batch{Revision: 9, Age: 10 * time.Second}}
+	view, self := withReaders(serve(t, old), serve(t, old), serve(t, old))
+	store := &fakeStore{}
+	s := NewSource(store, self, nil, func() *catalog.View { return view }, zerolog.Nop())
+	s.follow("another host")
+	if _, err := s.List(context.Background()); !errors.Is(err, errStoreAway) {
+		t.Errorf("a listing ends with %v", err)
+	}
+	if _, err := s.Watch(context.Background(), 7, time.Second); !errors.Is(err, errStoreAway) {
+		t.Errorf("a watch ends with %v", err)
+	}
+	if store.lists > 0 {
+		t.Errorf("%d listings of the store", store.lists)
+	}
+	// A host that is cut off from the others' sources alone must not wait for ever.
+	s.storeDueAt = time.Now().Add(-time.Millisecond)
+	if _, err := s.List(context.Background()); err != nil || store.lists != 1 {
+		t.Errorf("%v after %d listings, want one", err, store.lists)
+	}
+}
+
+// A reader that is cut off alone must not keep its followers from news that others have.
+func TestFollowersOfAStaleReaderAskOtherDomains(t *testing.T) {
+	old := &upstream{batch: catalog.Batch{Revision: 9, Age: 10 * time.Second}}
+	fresh := &upstream{batch: catalog.Batch{Revision: 11, Changes: []catalog.Change{configured()}}}
+	view, self := withReaders(serve(t, old), serve(t, fresh), serve(t, fresh))
+	store := &fakeStore{}
+	s := NewSource(store, self, nil, func() *catalog.View { return view }, zerolog.Nop())
+	s.follow("another host")
+	batch, err := s.List(context.Background())
+	if err != nil || batch.Revision != 11 || batch.Since != 7 {
+		t.Errorf("revision %d since %d, %v; want 11 since the known 7", batch.Revision, batch.Since, err)
+	}
+	if batch, err := s.Watch(context.Background(), 7, time.Second); err != nil || batch.Revision != 11 {
+		t.Errorf("watch: revision %d, %v", batch.Revision, err)
+	}
+	if store.lists > 0 {
+		t.Errorf("%d listings of the store", store.lists)
+	}
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -79,25 +79,8 @@
 // follows it knows no more than it did.
 func (s *Source) List(ctx context.Context) (catalog.Batch, error) {
 	known := s.view().Revision
-	changes := WatchArgs{After: known}
-	if !s.Direct() && known > 0 {
-		batch, ok, err := s.follows(ctx, changes, pollWait+callMargin)
-		switch {
-		case ok && err == nil:
-			batch.Since = known
-			return batch, nil
-		case err != nil && !errors.Is(err, catalog.ErrCompacted):
-			return batch, err
-		}
-	}
-	return s.listWhole(ctx, changes)
-}
-
-// listWhole lists everything, unless only other hosts can be asked and they keep the changes since what is known.
-func (s *Source) listWhole(ctx context.Context, changes WatchArgs) (catalog.Batch, error) {
-	whole := WatchArgs{Everything: true}
 	if !s.Direct() {
-		if batch, ok, err := s.follows(ctx, whole, listTimeout); ok || err != nil {
+		if batch, ok, err := s.listFollowed(ctx, known); ok || err != nil {
 			return batch, err
 		}
 	}
@@ -108,14 +91,27 @@
 			return batch, err
 		}
 	}
-	if changes.After > 0 {
-		batch, err := s.fallback(ctx, changes, pollWait+callMargin)
-		batch.Since = changes.After
+	if known > 0 {
+		batch, err := s.fallback(ctx, WatchArgs{After: known}, pollWait+callMargin)
+		batch.Since = known
 		if !errors.Is(err, catalog.ErrCompacted) {
 			return batch, err
 		}
 	}
-	return s.fallback(ctx, whole, listTimeout)
+	return s.fallback(ctx, WatchArgs{Everything: true}, listTimeout)
+}
+
+// listFollowed lists through the hosts that this one follows: the changes since what is known, or everything if those are not kept. It
+// reports false if the store is to be read.
+func (s *Source) listFollowed(ctx context.Context, known catalog.Revision) (catalog.Batch, bool, error) {
+	if known > 0 {
+		batch, ok, err := s.follows(ctx, WatchArgs{After: known}, pollWait+callMargin)
+		batch.Since = known
+		if !errors.Is(err, catalog.ErrCompacted) {
+			return batch, ok, err
+		}
+	}
+	return s.follows(ctx, WatchArgs{Everything: true}, listTimeout)
 }
 
 // Watch implements catalog.Store. A watch of the store that fails is an error, after which everything is read anew.
