Give soaks that run at once addresses of their own

The address of a host followed from process id and run in a way that gave process 20,128 in its first run the address of process 20,000 in its second.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -76,7 +76,7 @@
 // own, or a port may be taken by a connection of another process before the host listens on it.
 func freeAddresses(t *testing.T, run, number int) map[string]netip.AddrPort {
 	t.Helper()
-	ip := netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(os.Getpid()/128 + run), byte(10 + number)})
+	ip := hostAddress(os.Getpid(), run, number)
 	ports, err := network.FreePorts(ip, len(listenerNames))
 	if err != nil {
 		t.Fatal(err)
@@ -88,6 +88,28 @@
 	return addresses
 }
 
+// runsAtOnce bounds the runs of one process whose hosts live at the same time.
+const runsAtOnce = 8
+
+// hostAddress returns the address of a host of a run of a process. Processes whose ids differ by less than 4,096 share none.
+func hostAddress(process, run, number int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(64 + process%128), byte(process/128%32*runsAtOnce + run%runsAtOnce), byte(10 + number)})
+}
+
+// Two soaks at once could share the address of a host, and one took a port that the other had chosen.
+func TestSoaksAtOnceShareNoAddress(t *testing.T) {
+	owner := map[netip.Addr][2]int{}
+	for process := 20_000; process < 20_000+4096; process++ {
+		for run := 1; run <= runsAtOnce; run++ {
+			ip := hostAddress(process, run, 0)
+			if other, taken := owner[ip]; taken {
+				t.Fatalf("run %d of process %d has the address of run %d of process %d", run, process, other[1], other[0])
+			}
+			owner[ip] = [2]int{process, run}
+		}
+	}
+}
+
 func (d *deployment) newHost(i int) *host {
 	t := d.t
 	domain := fmt.Sprintf("d%d", i%2)
