Read the change again: one lock for pauses, and no swallowed error in early requests

Found by reading. A look at the clock by one request, between another's note of a pause and the end of its handling, still returned the epoch before the pause, and what was decided before could go out; the two atomics are one lock now, and the test asks each look for the new epoch (it was not seen to fail on the code before). An unexpected error that reached the goroutine of an early request was dropped without a line; it is logged. Comments rewrapped.

--- a/internal/backend/classify.go
+++ b/internal/backend/classify.go
@@ -85,8 +85,8 @@
 	return answer.Header.Get(shed.Header) != ""
 }
 
-// readBody reads at most MaxAnswerBytes, and no more than the budget of all bodies has. An answer whose end is only marked by the end of the connection cannot be told
-// from one that was cut off, so it counts as incomplete unless the protocol allows it.
+// readBody reads at most MaxAnswerBytes, and no more than the budget of all bodies has. An answer whose end is only marked by the
+// end of the connection cannot be told from one that was cut off, so it counts as incomplete unless the protocol allows it.
 func (a *attempt) readBody(ctx context.Context, answer *http.Response) ([]byte, *result.Failure) {
 	if hasNoLength(answer) && !a.protocol.AllowUnframed {
 		return nil, result.Fail(result.IncompleteAnswer, "the answer of %s has neither a length nor chunks", a.server.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,7 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// bodyBudget returns the bytes that bodies may hold on a machine with a memory in MB, 0 if that is not known.
+// bodyBudget returns the bytes that bodies may hold on a machine with a memory in MB, 0 if the memory is not known.
 func bodyBudget(memoryMB int) int64 {
 	if memoryMB <= 0 {
 		return defaultBodyBudget
--- a/internal/listener/early.go
+++ b/internal/listener/early.go
@@ -7,6 +7,10 @@
 	"net/http"
 	"reflect"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/foxtailtack/foxtailtack/internal/guard"
 )
 
 const (
@@ -30,12 +34,15 @@
 }
 
 // start runs the handler.
-func (e *early) start(handler http.Handler) {
+func (e *early) start(handler http.Handler, log zerolog.Logger) {
 	go func() {
 		defer close(e.done)
 		defer func() {
-			// The handler answers unexpected errors itself; what comes here is its wish to give no answer.
-			e.aborted = recover() != nil
+			r := recover()
+			e.aborted = r != nil
+			if r != nil && r != http.ErrAbortHandler {
+				guard.Report(log, "early request", r)
+			}
 		}()
 		handler.ServeHTTP(e, e.request)
 	}()
@@ -84,6 +91,7 @@
 type earlyRunner struct {
 	may     func(r *http.Request) bool
 	handler http.Handler
+	log     zerolog.Logger
 }
 
 // scan follows the requests in bytes that the connection has received, under the lock.
@@ -148,7 +156,7 @@
 		c.early = map[int]*early{}
 	}
 	c.early[next.number] = e
-	e.start(c.runner.handler)
+	e.start(c.runner.handler, c.runner.log)
 	return true
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -74,7 +74,7 @@
 	l := &Listener{name: o.Name, listen: listen, open: &connections{open: map[*trackedConn]struct{}{}}, served: make(chan struct{})}
 	if o.Early != nil {
 		may := func(r *http.Request) bool { return !l.closing.Load() && o.Early(r) }
-		l.open.runner = &earlyRunner{may: may, handler: o.Handler}
+		l.open.runner = &earlyRunner{may: may, handler: o.Handler, log: o.Log}
 	}
 	l.server = &http.Server{
 		Handler: l.track(o.Handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -27,11 +27,13 @@
 // concurrent use.
 type Detector struct {
 	clock func() time.Duration
-	// noticed is called for each pause, before Check returns.
+	// noticed is called for each pause, before any Check returns the next epoch.
 	noticed func(length time.Duration)
-	// looked is the clock's time in nanoseconds at the latest look.
-	looked atomic.Int64
-	epoch  atomic.Int64
+
+	mu sync.Mutex
+	// looked is the clock's time at the latest look.
+	looked time.Duration
+	epoch  Epoch
 }
 
 // New returns a detector that calls a function for each pause it notices. A nil clock stands for the machine's.
@@ -39,9 +41,7 @@
 	if clock == nil {
 		clock = bootTime
 	}
-	d := &Detector{clock: clock, noticed: noticed}
-	d.looked.Store(int64(clock()))
-	return d
+	return &Detector{clock: clock, noticed: noticed, looked: clock()}
 }
 
 // bootTime returns the time since the machine's start, suspended time included. A clock that cannot be read shows no pause.
@@ -61,15 +61,16 @@
 	}
 }
 
-// Check looks at the clock and returns the current epoch.
+// Check looks at the clock and returns the current epoch. While one caller deals with a pause, others wait: what they decided before it
+// would else go out under the old epoch.
 func (d *Detector) Check() Epoch {
-	now := int64(d.clock())
-	before := d.looked.Load()
-	if length := time.Duration(now - before); length > Limit && d.looked.CompareAndSwap(before, now) {
-		d.epoch.Add(1)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	if length := now - d.looked; length > Limit {
 		d.noticed(length)
-	} else if now > before {
-		d.looked.CompareAndSwap(before, now)
+		d.epoch++
 	}
-	return Epoch(d.epoch.Load())
+	d.looked = max(d.looked, now)
+	return d.epoch
 }
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -21,7 +21,11 @@
 	clock.Add(int64(Limit + 1))
 	var wg sync.WaitGroup
 	for range 50 {
-		wg.Go(func() { d.Check() })
+		wg.Go(func() {
+			if d.Check() == before {
+				t.Error("a look after the pause sees the epoch before it")
+			}
+		})
 	}
 	wg.Wait()
 	if n := pauses.Load(); n != 1 || d.Check() == before {
