End a stalled watch within the bound for changes, whatever replicas of the store say

Cause: a watch that stays open and delivers nothing was ended by a read of the store's revision that replicas may answer (StaleOk). Change: the read is linearizable, and its interval follows from the shortest bound for configurations, drains and evacuations, which the settings file now holds: the bound less 0.4 s for the event and 0.9 s for the read and the listing, at most 2 s. TestConfigurationIsReadWhenWatchIsStalledAndReplicasLag fails with the read of before (timeout), passes now. Cost in calls to the store: one read an interval and reader while nothing changes, in place of a tenth of one each second. 12 hosts that all read, bound 2.5 s: 10 calls a second at most in place of 1.2; 82 hosts, 6 readers, 4 s: 3 in place of 0.6; 295 hosts, 9 readers, 4 s: 4.5 in place of 0.9.

--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -134,7 +134,7 @@
 		HostID: "h1", FailureDomain: "d", Region: "r", FailureDomains: map[string]string{"d": "r"},
 		CallerAddress: local, ReadyAddress: local, LookupAddress: local, PeerAddress: local, AdminAddress: local,
 		StoreAddress: netip.MustParseAddrPort(strings.TrimPrefix(store.URL, "http://")),
-		Bounds:       settings.GatewayBounds{StopGraceMs: 3000, LookupTTLMs: 5000, StableWindowMs: 3000, RetryRatio: 0.2, RetrySlack: 100},
+		Bounds:       settings.GatewayBounds{StopGraceMs: 3000, LookupTTLMs: 5000, StableWindowMs: 3000, ConfigurationMs: 2500, DrainMs: 2500, EvacuationMs: 5000, RetryRatio: 0.2, RetrySlack: 100},
 	}
 	h := &host{t: t, kv: kv, log: &logBuffer{}, done: make(chan struct{})}
 	log, err := telemetry.NewLogger(h.log, "info")
--- a/internal/gateway/stalledwatch_test.go
+++ b/internal/gateway/stalledwatch_test.go
@@ -21,6 +21,19 @@
 	})
 }
 
+// Guards against serving with a stale configuration because the revision that shows the stall comes from a replica, which may lag
+// behind the store by seconds.
+func TestConfigurationIsReadWhenWatchIsStalledAndReplicasLag(t *testing.T) {
+	h := startHost(t).configure()
+	h.eventually("opened a watch", func() bool { return h.kv.Waiting() == 1 })
+	h.kv.FreezeCopies()
+	h.kv.SetFault(kvstore.Deaf)
+	h.kv.Compact()
+	h.eventually("regained the store by a listing", func() bool { return strings.Contains(h.log.String(), "event=store_regained") })
+	h.kv.Put("op/config", strings.Replace(configuration, `"00000001"`, `"00000002"`, 1))
+	h.eventually("configuration version 2 in force", func() bool { return h.inForce("2") })
+}
+
 // inForce reports whether the host has logged that a version is in force.
 func (h *host) inForce(version string) bool {
 	for _, line := range strings.Split(h.log.String(), "\n") {
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -55,7 +55,9 @@
 	self  *catalog.Host
 	seeds []netip.AddrPort
 	view  func() *catalog.View
-	log   zerolog.Logger
+	// checkInterval is the time between two reads of the store's revision while a watch delivers no events.
+	checkInterval time.Duration
+	log           zerolog.Logger
 
 	mu sync.Mutex
 	// clients holds the open connections, failedAt the time of the latest failure of each host.
@@ -71,9 +73,13 @@
 
 var _ catalog.Store = (*Source)(nil)
 
-// NewSource returns a source for a host. seeds are peer addresses that are called while no host is known.
-func NewSource(store Store, self *catalog.Host, seeds []netip.AddrPort, view func() *catalog.View, log zerolog.Logger) *Source {
-	return &Source{store: store, self: self, seeds: seeds, view: view, log: log, clients: map[netip.AddrPort]*rpc.Client{}, failedAt: map[string]time.Time{}}
+// NewSource returns a source for a host. seeds are peer addresses that are called while no host is known. changeBound is the time
+// within which a change in the store has to be in force.
+func NewSource(store Store, self *catalog.Host, seeds []netip.AddrPort, changeBound time.Duration, view func() *catalog.View, log zerolog.Logger) *Source {
+	return &Source{
+		store: store, self: self, seeds: seeds, view: view, checkInterval: checkInterval(changeBound), log: log,
+		clients: map[netip.AddrPort]*rpc.Client{}, failedAt: map[string]time.Time{},
+	}
 }
 
 // List implements catalog.Store. A host that read the store itself lists the store again: its watch was interrupted, and the hosts
--- a/internal/relay/stalledwatch.go
+++ b/internal/relay/stalledwatch.go
@@ -10,19 +10,30 @@
 )
 
 const (
-	// checkInterval is the time between two reads of the store's revision while a watch delivers no events. Each read costs a
-	// tenth of a call, and the limits within which changes have to be in force are two seconds and more.
-	checkInterval = time.Second
-	// eventMargin is the time that a watch has for delivering a change after the store has returned a later revision. It covers the
-	// network delay and a slow store.
-	eventMargin = 500 * time.Millisecond
+	// eventMargin is the time that a watch has for delivering a change after the store has returned a later revision. It covers a
+	// retransmission on the watch's connection.
+	eventMargin = 400 * time.Millisecond
+	// relistTime is the time that the read of the revision and the listing after a stalled watch may take: three round trips
+	// between regions and the transmission of a listing, with a margin for a slow host.
+	relistTime = 900 * time.Millisecond
+	// minCheckInterval and maxCheckInterval limit the time between two reads of the store's revision. Each read is billed as a
+	// call; hosts that follow a reader need part of the bound for the delay of the reader's responses.
+	minCheckInterval = 500 * time.Millisecond
+	maxCheckInterval = 2 * time.Second
 )
 
+// checkInterval returns the time between two reads of the store's revision while a watch delivers no events, so that a change that
+// a stalled watch does not deliver is in force within a bound.
+func checkInterval(changeBound time.Duration) time.Duration {
+	return min(maxCheckInterval, max(minCheckInterval, changeBound-eventMargin-relistTime))
+}
+
 // Store is the platform's store.
 type Store interface {
 	catalog.Store
-	// ReachedRevision returns a revision that the store has reached. It may lag behind the latest one by some seconds.
-	ReachedRevision(ctx context.Context) (catalog.Revision, error)
+	// LatestRevision returns the latest revision of the store. The read is linearizable: the revision is not lower than that of any
+	// change that was accepted before the call.
+	LatestRevision(ctx context.Context) (catalog.Revision, error)
 }
 
 // watchStore watches the store and cancels a stalled watch, which stays open and delivers no events although there are changes. A
@@ -41,16 +52,16 @@
 
 // checkWatch reads the revision of the store until ctx is done, and cancels a watch that has not delivered a later revision.
 func (s *Source) checkWatch(ctx context.Context, after catalog.Revision, cancel context.CancelCauseFunc) {
-	for wait.For(ctx, checkInterval); ctx.Err() == nil; wait.For(ctx, checkInterval) {
-		reached, err := s.store.ReachedRevision(ctx)
+	for wait.For(ctx, s.checkInterval); ctx.Err() == nil; wait.For(ctx, s.checkInterval) {
+		latest, err := s.store.LatestRevision(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err != nil:
 			s.log.Info().Err(err).Msg("revision_unknown")
-		case reached > after:
+		case latest > after:
 			wait.For(ctx, eventMargin)
-			cancel(Error.New("%w: the store has reached revision %d", catalog.ErrWatchStalled, reached))
+			cancel(Error.New("%w: the store has reached revision %d", catalog.ErrWatchStalled, latest))
 			return
 		}
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -50,6 +50,11 @@
 	LookupTTLMs int `toml:"lookup_ttl_ms" validate:"min=1,max=600000"`
 	// StableWindowMs is the time after a disturbance in milliseconds during which the platform's bounds need not hold. Default 3000.
 	StableWindowMs int `toml:"stable_window_ms" validate:"min=1500,max=600000"`
+	// ConfigurationMs, DrainMs and EvacuationMs are the times in milliseconds within which a configuration, the drain or end of a
+	// backend server and an evacuation have to be in force. Default 2000 each.
+	ConfigurationMs int `toml:"configuration_ms" validate:"min=1,max=600000"`
+	DrainMs         int `toml:"drain_ms" validate:"min=1,max=600000"`
+	EvacuationMs    int `toml:"evacuation_ms" validate:"min=1,max=600000"`
 	// RetryRatio is the maximum ratio of retries to requests of a service, over all hosts. Default 0.2.
 	RetryRatio float64 `toml:"retry_ratio" validate:"min=0,max=10"`
 	// RetrySlack is the number of retries that are allowed in addition to RetryRatio, over all hosts. Default 0.
@@ -72,6 +77,11 @@
 	return time.Duration(b.StableWindowMs)*time.Millisecond + deadHostListingSlack
 }
 
+// Change returns the time within which every change in the store has to be in force.
+func (b GatewayBounds) Change() time.Duration {
+	return time.Duration(min(b.ConfigurationMs, b.DrainMs, b.EvacuationMs)) * time.Millisecond
+}
+
 // deadHostListingSlack is the time that the platform allows after its stability window.
 const deadHostListingSlack = 3 * time.Second
 
@@ -80,6 +90,7 @@
 	defaultStopGraceMs    = 6000
 	defaultLookupTTLMs    = 5000
 	defaultStableWindowMs = 3000
+	defaultChangeBoundMs  = 2000
 	defaultRetryRatio     = 0.2
 )
 
@@ -99,8 +110,11 @@
 // ParseGateway decodes and validates the settings of a gateway.
 func ParseGateway(text []byte) (*Gateway, error) {
 	g := &Gateway{
-		Bounds: GatewayBounds{StopGraceMs: defaultStopGraceMs, LookupTTLMs: defaultLookupTTLMs, StableWindowMs: defaultStableWindowMs, RetryRatio: defaultRetryRatio},
-		Log:    Log{Level: defaultLogLevel, TraceSample: defaultTraceSample},
+		Bounds: GatewayBounds{
+			StopGraceMs: defaultStopGraceMs, LookupTTLMs: defaultLookupTTLMs, StableWindowMs: defaultStableWindowMs, RetryRatio: defaultRetryRatio,
+			ConfigurationMs: defaultChangeBoundMs, DrainMs: defaultChangeBoundMs, EvacuationMs: defaultChangeBoundMs,
+		},
+		Log: Log{Level: defaultLogLevel, TraceSample: defaultTraceSample},
 	}
 	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(g); err != nil {
 		return nil, describeDecodeError(err)
