Add "query losses", which explains late, rejected and failed requests from the logs

It needs inputs that the line of a request lacked: time waited before the handling began, the caller's timeout, the time of the latest attempt and of its connection, the round trip, the load that the response reported, the SLO and both regions. A request now counts from the time at which its head was received, so one that waits behind others on its connection uses up its deadline meanwhile; before, its deadline began when its turn came.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,6 +169,7 @@
 		Repeatable: req.route.Idempotent, NewConnection: shedBefore, Bodies: req.bodies, TimeBudget: max(time.Millisecond, time.Until(req.deadline)-d.RoundTrip),
 	})
 	info := g.dialect.Response(res.Header)
+	req.latestAttempt, req.latestLoad = &res, info
 	now := time.Now()
 	observation := &placement.AttemptResult{
 		ConnectTime: res.ConnectDuration, Duration: res.Duration,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,7 +111,7 @@
 		return nil, Error.Wrap(err)
 	}
 	g := &Gateway{
-		settings: s, dialect: o.Dialect, log: o.Log, traces: traces, droppedLines: o.DroppedLines, startedAt: time.Now(), startupWait: startupWait,
+		settings: s, dialect: o.Dialect, log: o.Log.With().Str("region", s.Region).Logger(), traces: traces, droppedLines: o.DroppedLines, startedAt: time.Now(), startupWait: startupWait,
 		self: &catalog.Host{
 			ID: s.HostID, Incarnation: catalog.Incarnation(time.Now().UnixMilli()), FailureDomain: s.FailureDomain, Region: s.Region,
 			CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -14,9 +14,11 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/foxtailtack/foxtailtack/internal/backend"
 	"github.com/foxtailtack/foxtailtack/internal/bodies"
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
 	"github.com/foxtailtack/foxtailtack/internal/guard"
+	"github.com/foxtailtack/foxtailtack/internal/listener"
 	"github.com/foxtailtack/foxtailtack/internal/pause"
 	"github.com/foxtailtack/foxtailtack/internal/placement"
 	"github.com/foxtailtack/foxtailtack/internal/result"
@@ -49,7 +51,10 @@
 	route *catalog.Route
 	// target is the service that the request goes to.
 	target   string
+	// arrived is the time at which the head of the request was received, started the time at which its handling began. Between them a
+	// request waits for those that were sent before it on its connection.
 	arrived  time.Time
+	started  time.Time
 	deadline time.Time
 	// callerDeadline is the time until which the caller waits for a response.
 	callerDeadline time.Time
@@ -74,6 +79,9 @@
 	// latestResponse is the latest response that may be forwarded to the caller.
 	latestResponse *response
 	latestDecision placement.Decision
+	// latestAttempt is the result of the latest attempt, nil if there was none. latestLoad is the load that its response reported.
+	latestAttempt *backend.Result
+	latestLoad    ResponseInfo
 	// epoch is the pause epoch in which the latest decision was made.
 	epoch pause.Epoch
 	// mayHaveRun is true once an attempt failed and the server did not state that the request has not run.
@@ -111,7 +119,7 @@
 
 func (g *Gateway) newRequest(r *http.Request) *request {
 	req := &request{
-		g: g, info: g.dialect.Request(r), view: g.follower.View(), arrived: time.Now(),
+		g: g, info: g.dialect.Request(r), view: g.follower.View(), arrived: listener.ReceivedAt(r.Context()), started: time.Now(),
 		method: r.Method, path: r.RequestURI, header: r.Header, bodies: g.bodies.NewReservation(),
 	}
 	if req.info.ID == "" {
@@ -322,18 +330,27 @@
 	g.metrics.recordRequest(req, code, took)
 	event.Str("request_id", req.info.ID).Int("status", status).Int("code", int(code)).Str("result", code.Describe().Name)
 	if req.route != nil {
-		event.Str("route", req.route.Name).Int("rank", req.route.Rank).Str("service", req.target).Str("object", req.info.Object)
+		event.Str("route", req.route.Name).Int("rank", req.route.Rank).Str("service", req.target).Str("object", req.info.Object).
+			Int64("slo_ms", req.route.SLO.Milliseconds())
 	}
 	if req.view.Configuration != nil {
 		event.Uint64("config", uint64(req.view.Configuration.Version))
 	}
-	event.Uint64("revision", uint64(req.view.Revision)).Int64("took_ms", took.Milliseconds()).Int("failed_attempts", req.failedAttempts).Bool("caller_left", req.callerDisconnected)
+	event.Uint64("revision", uint64(req.view.Revision)).Int64("took_ms", took.Milliseconds()).Int64("waited_ms", req.started.Sub(req.arrived).Milliseconds()).
+		Int64("caller_timeout_ms", req.info.CallerTimeout.Milliseconds()).Int("failed_attempts", req.failedAttempts).Bool("caller_left", req.callerDisconnected)
 	if d := &req.latestDecision; d.Reason != "" {
 		event.Str("reason", string(d.Reason)).Int64("expected_ms", d.ExpectedLatency.Milliseconds()).Int("usable", d.Usable)
 		if d.Server != nil {
-			event.Str("server", d.Server.ID).Float64("load", d.Load).Int64("load_age_ms", d.LoadAge.Milliseconds()).Bool("warm", d.Warm)
+			event.Str("server", d.Server.ID).Str("server_region", g.settings.FailureDomains[d.Server.FailureDomain]).Float64("load", d.Load).
+				Int64("load_age_ms", d.LoadAge.Milliseconds()).Bool("warm", d.Warm).Int64("round_trip_ms", d.RoundTrip.Milliseconds())
 		}
 	}
+	if a := req.latestAttempt; a != nil {
+		event.Int64("attempt_ms", a.Duration.Milliseconds()).Int64("connect_ms", a.ConnectDuration.Milliseconds())
+	}
+	if l := req.latestLoad; l.HasLoad {
+		event.Int("running", l.Load.Running).Int("waiting", l.Load.Waiting).Int("slots", l.Load.Slots)
+	}
 	if failure != nil {
 		event.Str("cause", failure.Message).Int64("retry_after_ms", failure.RetryAfter.Milliseconds())
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -114,7 +114,7 @@
 			pipelined.writeResponse(ctx, w)
 			return
 		}
-		handler.ServeHTTP(w, r.WithContext(ctx))
+		handler.ServeHTTP(w, r.WithContext(withReceivedAt(ctx, conn.currentReceivedAt())))
 	})
 }
 
--- a/internal/listener/pipelined_request.go
+++ b/internal/listener/pipelined_request.go
@@ -101,7 +101,7 @@
 // scan finds the requests in received bytes and starts those that may run. The caller holds c.mu.
 func (c *trackedConn) scan(p []byte) {
 	if c.runner != nil {
-		c.notStarted = append(c.notStarted, c.scanner.scan(p)...)
+		c.notStarted = append(c.notStarted, c.scanner.scan(p, time.Now())...)
 		c.startPipelined()
 	}
 }
@@ -122,6 +122,33 @@
 	}
 }
 
+// currentReceivedAt returns the time at which the head of the running request was received. If the scanner has not found the request,
+// it returns the current time.
+func (c *trackedConn) currentReceivedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastFound.number == c.readCount {
+		return c.lastFound.receivedAt
+	}
+	return time.Now()
+}
+
+// receivedAtKey is the context key of the time at which a request was received.
+type receivedAtKey struct{}
+
+func withReceivedAt(ctx context.Context, at time.Time) context.Context {
+	return context.WithValue(ctx, receivedAtKey{}, at)
+}
+
+// ReceivedAt returns the time at which the head of a request was received, from the context of the request. A request that was sent
+// behind another on its connection may start to run much later. The time is that of the call if the listener does not know it.
+func ReceivedAt(ctx context.Context) time.Time {
+	if at, ok := ctx.Value(receivedAtKey{}).(time.Time); ok {
+		return at
+	}
+	return time.Now()
+}
+
 // scannerInSync reports whether the running request is the one that the scanner found under the same number. If not, the server parses
 // the bytes differently, and the bytes after it that the scanner took for requests may not be requests. The caller holds c.mu.
 func (c *trackedConn) scannerInSync() bool {
@@ -154,7 +181,7 @@
 	if err != nil || !c.runner.mayRun(r) {
 		return false
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(withReceivedAt(context.Background(), next.receivedAt))
 	pr := &pipelinedRequest{request: r.WithContext(ctx), cancel: cancel, done: make(chan struct{}), header: http.Header{}}
 	if c.pipelined == nil {
 		c.pipelined = map[int]*pipelinedRequest{}
--- a/internal/listener/pipelined_request_test.go
+++ b/internal/listener/pipelined_request_test.go
@@ -214,7 +214,7 @@
 		var s scanner
 		found := 0
 		for text.Len() > 0 {
-			for _, r := range s.scan(text.Next(rapid.IntRange(1, 80).Draw(t, "piece"))) {
+			for _, r := range s.scan(text.Next(rapid.IntRange(1, 80).Draw(t, "piece")), time.Time{}) {
 				found++
 				if r.number != found || !bytes.HasSuffix(r.head, headEnd) {
 					t.Fatalf("request %d: %q", r.number, r.head)
@@ -231,7 +231,7 @@
 func TestScannerStopsAtAnOversizedHead(t *testing.T) {
 	var s scanner
 	for range 1000 {
-		s.scan(bytes.Repeat([]byte("x"), 1000))
+		s.scan(bytes.Repeat([]byte("x"), 1000), time.Time{})
 	}
 	if len(s.pending) > maxHeadBytes+1000 || !s.stopped {
 		t.Errorf("%d bytes buffered", len(s.pending))
@@ -298,7 +298,7 @@
 	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\ncontent-length: 3\r\n\r\nabc" + get("/x")))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var s scanner
-		found := s.scan(text)
+		found := s.scan(text, time.Time{})
 		reader := bufio.NewReader(bytes.NewReader(text))
 		for _, next := range found {
 			scanned, scannedErr := http.ReadRequest(bufio.NewReader(bytes.NewReader(next.head)))
--- a/internal/listener/scanner.go
+++ b/internal/listener/scanner.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strconv"
+	"time"
 )
 
 // maxHeadBytes bounds the request heads that the scanner handles. Requests with a longer head, and those after them, are left to the
@@ -32,10 +33,12 @@
 	number  int
 	head    []byte
 	hasBody bool
+	// receivedAt is the time at which the last byte of the head was received.
+	receivedAt time.Time
 }
 
-// scan processes the next bytes of the connection and returns the requests whose heads they complete.
-func (s *scanner) scan(p []byte) []scannedRequest {
+// scan processes bytes of the connection that were received at a time and returns the requests whose heads they complete.
+func (s *scanner) scan(p []byte, receivedAt time.Time) []scannedRequest {
 	var list []scannedRequest
 	for !s.stopped && len(p) > 0 {
 		if s.bodyRemaining > 0 {
@@ -60,7 +63,7 @@
 			s.stopped = true
 			return list
 		}
-		list = append(list, scannedRequest{s.foundCount, head, s.bodyRemaining > 0})
+		list = append(list, scannedRequest{s.foundCount, head, s.bodyRemaining > 0, receivedAt})
 	}
 	return list
 }
--- a/internal/operator/leaf.go
+++ b/internal/operator/leaf.go
@@ -22,6 +22,9 @@
 	defaultTimeout = 15 * time.Second
 )
 
+// anyArguments is the argumentCount of commands with one or more arguments.
+const anyArguments = -1
+
 // leafCommand is a command without subcommands.
 type leafCommand struct {
 	env      *environment
@@ -29,7 +32,7 @@
 	synopsis string
 	// usage names the arguments after the flags in help texts and errors.
 	usage string
-	// argumentCount is the number of arguments after the flags.
+	// argumentCount is the number of arguments after the flags, or anyArguments for one or more.
 	argumentCount int
 	// contactsEntryHost is true if the command sends requests to an entry host. Such a command has the flags for the connection.
 	contactsEntryHost bool
@@ -103,11 +106,11 @@
 
 func (l *leafCommand) validateArguments(args []string) error {
 	for _, a := range args[min(1, len(args)):] {
-		if strings.HasPrefix(a, "-") {
+		if strings.HasPrefix(a, "-") && a != "-" {
 			return usageError("flag %s comes after %s, want all flags before it", a, args[0])
 		}
 	}
-	if len(args) == l.argumentCount {
+	if len(args) == l.argumentCount || l.argumentCount == anyArguments && len(args) > 0 {
 		return nil
 	}
 	if l.argumentCount == 0 {
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -50,7 +50,7 @@
 
 func (e *environment) run(ctx context.Context, args []string, extra []subcommands.Command) int {
 	commands := []subcommands.Command{
-		e.policyGroup(), e.shiftGroup(), e.questionnaireGroup(), e.tokenGroup(),
+		e.policyGroup(), e.shiftGroup(), e.questionnaireGroup(), e.tokenGroup(), e.queryGroup(),
 		e.drainCommand(), e.undrainCommand(),
 		e.hostsCommand(), e.slotsCommand(), e.backendServersCommand(), e.explainCommand(),
 		&versionCommand{env: e},
