Take the time of a log line from the line itself, also if columns precede it

Hosts that write at the same moment can lose the columns of a line in a collector; six such requests got a time of their own kind, and the plot one point.

--- a/internal/losses/parse.go
+++ b/internal/losses/parse.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// parseLine decodes the line of a request. It returns false for any other line. Columns of a log collector may precede the pairs;
-// the first of them is a time in seconds if the line has no time of its own.
+// parseLine decodes the line of a request. It returns false for any other line. Columns of a log collector may precede the pairs; if
+// the line has no time of its own, the first of them is a time in seconds.
 func parseLine(line string) (Request, bool, error) {
 	if !strings.Contains(line, "event=request ") && !strings.HasSuffix(line, "event=request") {
 		return Request{}, false, nil
@@ -213,16 +213,18 @@
 	return time.Duration(n) * time.Millisecond
 }
 
-// endedAt returns the time of a line: the first column if it is a number of seconds, else the line's own time since the Unix epoch.
+// endedAt returns the time of a line since the Unix epoch, or else the first column.
 func (d *decoder) endedAt(columns []string) time.Duration {
+	if at, err := time.Parse(time.RFC3339Nano, d.fields["time"]); err == nil {
+		return time.Duration(at.UnixNano())
+	}
 	if len(columns) > 0 {
 		if seconds, err := strconv.ParseFloat(columns[0], 64); err == nil {
 			return time.Duration(seconds * float64(time.Second))
 		}
 	}
-	at, err := time.Parse(time.RFC3339Nano, d.fields["time"])
-	if err != nil && d.err == nil {
-		d.err = fmt.Errorf("no time: neither a first column in seconds nor a valid time=")
+	if d.err == nil {
+		d.err = fmt.Errorf("no time: neither a valid time= nor a first column in seconds")
 	}
-	return time.Duration(at.UnixNano())
+	return 0
 }
