Take the requests of each route with a key for an object of its own

Cause: hosts placed requests by the caller's key alone. So hosts expected warm servers that were cold, counted 38 objects where 62 were in use, and sent all work of a key to one server. Change: the object of a request is its route and its key.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,8 +110,8 @@
 
 // placementRequest returns the description of the request for package placement.
 func (req *request) placementRequest() *placement.Request {
-	object := req.info.Object
-	if !req.route.Sticky || object == "" {
+	object := placement.ObjectOf(req.route, req.info.Object)
+	if !req.route.Sticky || req.info.Object == "" {
 		object = req.info.ID
 	}
 	return &placement.Request{Route: req.route, Service: req.target, Object: object, Deadline: req.deadline, Excluded: req.excluded}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -50,7 +50,7 @@
 	view  *catalog.View
 	route *catalog.Route
 	// target is the service that the request goes to.
-	target   string
+	target string
 	// arrived is the time at which the head of the request was received, started the time at which its handling began. Between them a
 	// request waits for those that were sent before it on its connection.
 	arrived  time.Time
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -153,7 +153,9 @@
 		}
 	})
 	r.printGroups(w, "caller_region>server_region", func(add func(string, *Counts)) {
-		order := func(a, b Regions) int { return cmp.Or(cmp.Compare(a.Caller, b.Caller), cmp.Compare(a.Server, b.Server)) }
+		order := func(a, b Regions) int {
+			return cmp.Or(cmp.Compare(a.Caller, b.Caller), cmp.Compare(a.Server, b.Server))
+		}
 		for _, regions := range slices.SortedFunc(maps.Keys(r.ByRegions), order) {
 			name, _ := regions.MarshalText()
 			add(string(name), r.ByRegions[regions])
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -21,7 +21,8 @@
 type Request struct {
 	Route   *catalog.Route
 	Service string
-	// Object identifies the object of the request. Requests for an object are faster on a server that handled it recently.
+	// Object identifies what the request concerns, see ObjectOf. Requests for an object are faster on a server that handled it
+	// recently.
 	Object string
 	// Deadline is the time after which the caller no longer uses a response.
 	Deadline time.Time
@@ -29,6 +30,12 @@
 	Excluded []string
 }
 
+// ObjectOf returns the object of a request of a route whose caller states a key. Requests of another route with the same key do
+// other work: a server that has handled one of them recently is not faster for the other.
+func ObjectOf(route *catalog.Route, key string) string {
+	return route.HostName + route.Prefix + " " + key
+}
+
 // Reason states why a request was placed or rejected.
 type Reason string
 
