Keep one preferred server for each object, and none in each region

Hypothesis: copies of the objects of a short region in each region are worth nothing. Hosts then choose the server of their own region until its queue is as long as the way to another, so the few servers of the short region stay full. Change: an object has one preferred server, in its region if that keeps its work, else among all regions by their spare servers. The third kind of placement and its constant are gone. The replays that compare with copies in each region hold that policy as a model now; their bounds are as before.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -83,12 +83,12 @@
 	if r.Route.Sticky && len(r.Excluded) == 0 {
 		t.workingSet(r.Service).add(r.Object, now)
 	}
-	copies := t.copyPlacement(r, usable)
+	inOwnRegion := t.keepsWorkInRegion(r.Service, t.region())
 	bias := noBias
-	if copies != singleCopy {
+	if inOwnRegion {
 		bias = t.shareLimiter.bias(t.region(), now)
 	}
-	for _, c := range t.candidates(r, usable, copies) {
+	for _, c := range t.candidates(r, usable, inOwnRegion) {
 		option, reason := t.evaluate(r, service, c, now)
 		if reason == ReasonColdLimit && best.Server == nil {
 			best.Reason = reason
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -16,11 +16,10 @@
 	// its callers warm. Most servers of the operators' deployments keep 28 to 67 objects warm, some of which belong to other
 	// regions.
 	objectsPerServer = 20
-	// expectedHomeReuse is the counterpart of expectedReuse for a region that keeps its objects: the number of requests that are
-	// expected to find an object warm after its first, slow request. It is twice expectedReuse, because on the operators' larger
-	// deployment half of the requests are for objects that only one region uses and that have no second copy. With round trips of
-	// a 25th of the SLO, keeping objects in their region lost 0.02 of the worth.
-	expectedHomeReuse = 2 * expectedReuse
+	// expectedHomeReuse is the number of requests that are expected to find an object warm after its first, slow request, in a region
+	// that keeps its objects. Keeping them is worthwhile if it saves more network time over that many requests than the SLO, which
+	// stands for the first request: all hosts know the SLO from the start and get the same result.
+	expectedHomeReuse = 10
 	// workingSetSpan is a period in which most objects in use are requested at least once.
 	workingSetSpan = 10 * time.Second
 	// deviationFactor is the number of standard deviations by which the number of objects is underestimated, so that a small sample
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -11,7 +11,7 @@
 // the objects warm.
 const unlimited = 1 << 20
 
-var currentLimits = copyLimits{reliefServers, expectedReuse, expectedHomeReuse, objectsPerServer}
+var currentLimits = copyLimits{reliefServers, expectedHomeReuse, objectsPerServer}
 
 // lessLoadedOfTwo is an earlier version: the less loaded of two random servers, regardless of their warm objects.
 func lessLoadedOfTwo(r *replay) func(h *simHost, req *Request) Decision {
@@ -25,6 +25,31 @@
 	}
 }
 
+// copiesInEachRegion is an earlier version: an object has a preferred server in each region, and further servers in the own region. It
+// holds also where the servers of a region cannot keep the objects of their callers.
+func copiesInEachRegion(r *replay, reliefServers int) func(h *simHost, req *Request) Decision {
+	return func(h *simHost, req *Request) Decision {
+		t := h.table
+		own, far := t.splitByRegion(topScored(t.usable(req, r.now), len(r.view.Servers), func(s *catalog.ServerEntry) uint64 { return score(req.Object, s.ID) }))
+		list := preferFirst(own, reliefServers)
+		for _, entry := range far {
+			list = append(list, candidate{entry, true})
+		}
+		best := Decision{Reason: ReasonServersFullForRank}
+		bias := t.shareLimiter.bias(t.region(), r.now)
+		for _, c := range list {
+			option, reason := t.evaluate(req, t.service(req.Service), c, r.now)
+			if reason == "" && (best.Server == nil || t.isBetter(&option, &best, bias)) {
+				best = option
+			}
+		}
+		if best.Server != nil && best.wouldQueue() && t.hasTimes(req) && r.now.Add(best.ExpectedLatency).After(req.Deadline) {
+			return Decision{Reason: ReasonDeadlineTooEarly}
+		}
+		return best
+	}
+}
+
 var fewServersInNorth = map[string]int{"east": 8, "north": 2, "west": 6}
 
 // The region north has two of sixteen servers and a third of the callers: most of its requests have to run in other regions, and
@@ -63,11 +88,11 @@
 // for the larger mills.
 func TestReplayServersRemovedUnderLoad(t *testing.T) {
 	const want = 0.47
-	play := func(seed uint64, limits copyLimits) *requestCounts {
+	play := func(seed uint64, earlier bool) *requestCounts {
 		r := newReplay(seed, map[string]int{"east": 14, "north": 4, "west": 12})
 		r.objects, r.regionalObjects, r.warmCapacity = 150, true, 24
-		for _, h := range r.hosts {
-			h.table.copies = limits
+		if earlier {
+			r.choose = copiesInEachRegion(r, 3)
 		}
 		r.schedule(8*time.Second, func() { r.removeServers(map[string]int{"east": 5, "north": 1, "west": 4}) })
 		r.scheduleLoad(2, map[string]float64{"east": 45, "north": 45, "west": 45}, 0, 24*time.Second)
@@ -75,8 +100,8 @@
 		return r.resultByRank[1]
 	}
 	for seed := range uint64(3) {
-		before, now := play(seed, copyLimits{3, 10, 0, unlimited}), play(seed, currentLimits)
-		t.Logf("seed %d: %.3f in its SLO, %+v; earlier limits %.3f, %+v", seed, now.shareInSLO(), *now, before.shareInSLO(), *before)
+		before, now := play(seed, true), play(seed, false)
+		t.Logf("seed %d: %.3f in its SLO, %+v; copies in each region %.3f, %+v", seed, now.shareInSLO(), *now, before.shareInSLO(), *before)
 		if now.shareInSLO() < want || now.shareInSLO() < before.shareInSLO() {
 			t.Errorf("seed %d: share %.3f in its SLO, want %.2f and at least the earlier %.3f", seed, now.shareInSLO(), want, before.shareInSLO())
 		}
@@ -118,8 +143,8 @@
 	for _, home := range []int{0, expectedHomeReuse} {
 		var now, before float64
 		for seed := range uint64(seeds) {
-			now += play(seed, copyLimits{reliefServers, expectedReuse, home, objectsPerServer}).shareInSLO() / seeds
-			before += play(seed, copyLimits{3, expectedReuse, home, objectsPerServer}).shareInSLO() / seeds
+			now += play(seed, copyLimits{reliefServers, home, objectsPerServer}).shareInSLO() / seeds
+			before += play(seed, copyLimits{3, home, objectsPerServer}).shareInSLO() / seeds
 		}
 		t.Logf("reuse at home %d: %.3f in its SLO, earlier limits %.3f", home, now, before)
 		if now <= before {
@@ -242,7 +267,7 @@
 		return r.resultByRank[1], away
 	}
 	for seed := range uint64(3) {
-		before, awayBefore := play(seed, copyLimits{reliefServers, expectedReuse, 0, unlimited})
+		before, awayBefore := play(seed, copyLimits{reliefServers, 0, unlimited})
 		now, away := play(seed, currentLimits)
 		t.Logf("seed %d: %.3f in its SLO, share that leaves %v; one place for all regions %.3f, %v", seed, now.shareInSLO(), away, before.shareInSLO(), awayBefore)
 		for _, region := range []string{"east", "west"} {
@@ -262,24 +287,22 @@
 // of the operators' target for the larger mills, in the short region.
 func TestReplayShortRegionSendsWorkItCannotKeepWarm(t *testing.T) {
 	const want = 0.47
-	play := func(seed uint64, limits copyLimits) *replay {
+	play := func(seed uint64, earlier bool) *replay {
 		r := newReplay(seed, map[string]int{"east": 12, "north": 2, "west": 10})
 		r.objects, r.regionalObjects, r.warmCapacity = 140, true, 33
 		r.routes = []*catalog.Route{{Name: "pay", HostName: "h", Prefix: "/pay/", SLO: 500 * time.Millisecond, Timeout: 1500 * time.Millisecond, Attempts: 1, Sticky: true, Targets: r.routes[0].Targets}}
 		r.view.Configuration.Routes["h"] = r.routes
-		for _, h := range r.hosts {
-			h.table.copies = limits
+		if earlier {
+			r.choose = copiesInEachRegion(r, reliefServers)
 		}
 		r.scheduleLoad(0, map[string]float64{"east": 40, "north": 40, "west": 40}, 0, 20*time.Second)
 		r.run()
 		return r
 	}
 	for seed := range uint64(3) {
-		earlier := currentLimits
-		earlier.objectsPerServer = unlimited
-		before, now := play(seed, earlier), play(seed, currentLimits)
+		before, now := play(seed, true), play(seed, false)
 		short, shortBefore := now.byRegion["north"].shareInSLO(), before.byRegion["north"].shareInSLO()
-		t.Logf("seed %d: %.3f in its SLO in the short region, %.3f in all; copies in each region without limit %.3f, %.3f", seed, short, now.resultByRank[0].shareInSLO(), shortBefore, before.resultByRank[0].shareInSLO())
+		t.Logf("seed %d: %.3f in its SLO in the short region, %.3f in all; copies in each region %.3f, %.3f", seed, short, now.resultByRank[0].shareInSLO(), shortBefore, before.resultByRank[0].shareInSLO())
 		if short < want || short < shortBefore {
 			t.Errorf("seed %d: share %.3f in its SLO in the short region, want %.2f and at least the earlier %.3f", seed, short, want, shortBefore)
 		}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -105,7 +105,7 @@
 // NewTable returns an empty table for the host self in a failure domain.
 func NewTable(settings Settings, self, domain string, regions map[string]string) *Table {
 	return &Table{
-		settings: settings, copies: copyLimits{reliefServers, expectedReuse, expectedHomeReuse, objectsPerServer}, self: self, domain: domain, regions: regions, view: &catalog.View{},
+		settings: settings, copies: copyLimits{reliefServers, expectedHomeReuse, objectsPerServer}, self: self, domain: domain, regions: regions, view: &catalog.View{},
 		servers: map[serverKey]*server{}, routeTimes: map[string]*routeTimes{}, splitters: map[string]*splitter{},
 		retryBudgets: map[string]*retryBudget{}, averageLoads: map[string]*averageLoad{}, capacities: map[string]*capacity{}, workingSets: map[string]*workingSet{}, roundTrips: map[string]time.Duration{},
 	}
