--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -191,23 +191,14 @@
 }
 
 // mayRunPipelined reports whether a request may run before the earlier requests on its connection are completed. This requires
-// that the request is idempotent and that no service of its route is full.
+// that the request is idempotent. It holds also while servers are full: a request that waits on its connection is late for certain.
 func (g *Gateway) mayRunPipelined(r *http.Request) bool {
 	configuration := g.follower.View().Configuration
 	if configuration == nil {
 		return false
 	}
 	route := configuration.Route(hostName(r.Host), r.URL.EscapedPath())
-	if route == nil || !route.Idempotent {
-		return false
-	}
-	now, full := time.Now(), false
-	g.withTable(func(t *placement.Table) {
-		for _, target := range route.Targets {
-			full = full || t.IsFull(target.Service, now)
-		}
-	})
-	return !full
+	return route != nil && route.Idempotent
 }
 
 // hostName returns host without the port.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -218,14 +218,6 @@
 	return float64(others * t.serverState(entry).load.ownRequests)
 }
 
-// IsFull reports whether the servers of a service in this host's region are estimated to have at least as many requests as slots.
-// It is used for callers that send many requests one after the other on a connection: while servers are full, requests that wait on
-// the connection do not load them, and objects that are requested one after the other displace each other less.
-func (t *Table) IsFull(service string, now time.Time) bool {
-	u := t.averageLoads[service+" "+t.region()]
-	return u != nil && u.count > 0 && u.at(now) >= 1
-}
-
 func (t *Table) averageLoadFor(entry *catalog.ServerEntry) *averageLoad {
 	return getOrCreate(t.averageLoads, entry.Service+" "+t.regions[entry.FailureDomain])
 }
