--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -30,24 +30,21 @@
 		})
 		return preferFirst(order, t.copies.reliefServers+1)
 	}
-	own, far := t.splitByRegion(topScored(usable, len(usable), func(s *catalog.ServerEntry) uint64 { return score(r.Object, s.ID) }))
-	list := preferFirst(own, t.copies.reliefServers+1)
-	for _, entry := range far[:min(1, len(far))] {
+	own, far := t.splitByRegion(usable)
+	byHash := func(s *catalog.ServerEntry) uint64 { return score(r.Object, s.ID) }
+	list := preferFirst(topScored(own, t.copies.reliefServers+1, byHash), t.copies.reliefServers+1)
+	for _, entry := range topScored(far, 1, byHash) {
 		list = append(list, candidate{entry, false})
 	}
 	return list
 }
 
-// splitByRegion returns the servers of the own region and the first one of each other region, in the given order.
-func (t *Table) splitByRegion(order []*catalog.ServerEntry) (own, far []*catalog.ServerEntry) {
-	seen := map[string]bool{}
-	for _, entry := range order {
-		region := t.regions[entry.FailureDomain]
-		switch {
-		case region == t.region():
+// splitByRegion returns the servers of the own region and the others.
+func (t *Table) splitByRegion(servers []*catalog.ServerEntry) (own, far []*catalog.ServerEntry) {
+	for _, entry := range servers {
+		if t.isOwnRegion(entry) {
 			own = append(own, entry)
-		case !seen[region]:
-			seen[region] = true
+		} else {
 			far = append(far, entry)
 		}
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -147,8 +147,10 @@
 
 // usable returns the servers that are eligible for the request, before load and cold limits are considered.
 func (t *Table) usable(r *Request, now time.Time) []*catalog.ServerEntry {
-	var healthy, ejected []*catalog.ServerEntry
-	for _, entry := range t.view.ByService[r.Service] {
+	all := t.view.ByService[r.Service]
+	healthy := make([]*catalog.ServerEntry, 0, len(all))
+	var ejected []*catalog.ServerEntry
+	for _, entry := range all {
 		if !t.isAllowed(r, entry) {
 			continue
 		}
--- a/internal/placement/rendezvous.go
+++ b/internal/placement/rendezvous.go
@@ -30,16 +30,31 @@
 	score S
 }
 
-// topScored returns the count items with the highest scores in descending order.
+// topScored returns the count items with the highest scores in descending order. It reads the items once and is meant for small
+// counts.
 func topScored[T any, S cmp.Ordered](items []T, count int, of func(T) S) []T {
-	list := make([]scored[T, S], len(items))
-	for i, item := range items {
-		list[i] = scored[T, S]{item, of(item)}
+	count = min(count, len(items))
+	if count == 0 {
+		return nil
 	}
-	slices.SortFunc(list, func(a, b scored[T, S]) int { return cmp.Compare(b.score, a.score) })
-	out := make([]T, min(count, len(list)))
+	top := make([]scored[T, S], 0, count)
+	for _, item := range items {
+		s := scored[T, S]{item, of(item)}
+		if len(top) == count {
+			if s.score <= top[count-1].score {
+				continue
+			}
+			top = top[:count-1]
+		}
+		i := len(top)
+		for i > 0 && top[i-1].score < s.score {
+			i--
+		}
+		top = slices.Insert(top, i, s)
+	}
+	out := make([]T, len(top))
 	for i := range out {
-		out[i] = list[i].item
+		out[i] = top[i].item
 	}
 	return out
 }
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -30,10 +30,14 @@
 func copiesInEachRegion(r *replay, reliefServers int) func(h *simHost, req *Request) Decision {
 	return func(h *simHost, req *Request) Decision {
 		t := h.table
-		own, far := t.splitByRegion(topScored(t.usable(req, r.now), len(r.view.Servers), func(s *catalog.ServerEntry) uint64 { return score(req.Object, s.ID) }))
-		list := preferFirst(own, reliefServers)
+		order := topScored(t.usable(req, r.now), len(r.view.Servers), func(s *catalog.ServerEntry) uint64 { return score(req.Object, s.ID) })
+		own, far := t.splitByRegion(order)
+		list, seen := preferFirst(own, reliefServers), map[string]bool{}
 		for _, entry := range far {
-			list = append(list, candidate{entry, true})
+			if !seen[entry.FailureDomain] {
+				list = append(list, candidate{entry, true})
+			}
+			seen[entry.FailureDomain] = true
 		}
 		best := Decision{Reason: ReasonServersFullForRank}
 		bias := t.shareLimiter.bias(t.region(), r.now)
