--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,3 +60,37 @@
 		}
 	}
 }
+
+// Guards against deadlines that begin when a request's turn comes. A request that waited behind another on its connection was given its
+// caller's whole timeout, so a server worked on after the caller had given up.
+func TestDeadlineCountsFromArrivalBehindAnotherRequest(t *testing.T) {
+	const held = 300 * time.Millisecond
+	s := newServer(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(held)
+		respond(w, r, http.StatusOK)
+	})
+	h := startHost(t, s).configure()
+	conn, err := net.Dial("tcp", h.process.Address("caller_address").String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(waitLimit))
+	for i := range 2 {
+		_, _ = fmt.Fprintf(conn, "GET /pay/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: id-%d\r\nX-Deadline-Ms: 2500\r\n\r\n", i)
+	}
+	responses := bufio.NewReader(conn)
+	for range 2 {
+		res, err := http.ReadResponse(responses, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left, err := strconv.Atoi(s.requests[1].Header.Get("X-Deadline-Ms"))
+	if most := 2500 - int(held.Milliseconds()); err != nil || left > most {
+		t.Errorf("the second request reached the server with %d ms (%v), want %d at most", left, err, most)
+	}
+}
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -453,7 +453,8 @@
 			line = scanner.Text()
 		}
 	}
-	for _, field := range []string{"event=request", "status=200", "code=0", "route=look", "rank=1", "service=s", "config=1", "revision=", "reason=preferred_server", "server=i-1", "load=", "load_age_ms=", "expected_ms=", "took_ms="} {
+	for _, field := range []string{"event=request", "status=200", "code=0", "route=look", "rank=1", "service=s", "config=1", "revision=", "reason=preferred_server", "server=i-1", "load=", "load_age_ms=", "expected_ms=", "took_ms=", "waited_ms=",
+		"region=r", "server_region=r", "slo_ms=1000", "caller_timeout_ms=2500", "attempt_ms=", "connect_ms=", "round_trip_ms=", "running=1", "waiting=0", "slots=3"} {
 		if !strings.Contains(line, field) {
 			t.Errorf("line %q lacks %s", line, field)
 		}
