--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -46,10 +46,11 @@
 // Regions is a pair of regions. Server is empty if no server was chosen.
 type Regions struct{ Caller, Server string }
 
-// MarshalText returns the form of the pair in tables and JSON.
-func (g Regions) MarshalText() ([]byte, error) {
-	return []byte(orDash(g.Caller) + ">" + orDash(g.Server)), nil
-}
+// String returns the form of the pair in tables and JSON.
+func (g Regions) String() string { return orDash(g.Caller) + ">" + orDash(g.Server) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (g Regions) MarshalText() ([]byte, error) { return []byte(g.String()), nil }
 
 // Estimate compares the expected latency of a route's first attempts with the real one.
 type Estimate struct {
@@ -157,8 +158,7 @@
 			return cmp.Or(cmp.Compare(a.Caller, b.Caller), cmp.Compare(a.Server, b.Server))
 		}
 		for _, regions := range slices.SortedFunc(maps.Keys(r.ByRegions), order) {
-			name, _ := regions.MarshalText()
-			add(string(name), r.ByRegions[regions])
+			add(regions.String(), r.ByRegions[regions])
 		}
 	})
 	t := newTable(w)
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -13,8 +13,7 @@
 	// slightly below its share sends single requests to other regions when its servers are busy.
 	minHomeCapacityRatio = 0.8
 	// objectsPerServer is the number of objects per server up to which the servers of a region are assumed to keep the objects of
-	// its callers warm. Most servers of the operators' deployments keep 28 to 67 objects warm, some of which belong to other
-	// regions.
+	// its callers warm. Servers do not report how many they keep, and part of their memory holds objects of other regions.
 	objectsPerServer = 20
 	// expectedHomeReuse is the number of requests that are expected to find an object warm after its first, slow request, in a region
 	// that keeps its objects. Keeping them is worthwhile if it saves more network time over that many requests than the SLO, which
