--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,7 +169,6 @@
 		Repeatable: req.route.Idempotent, NewConnection: shedBefore, Bodies: req.bodies, TimeBudget: max(time.Millisecond, time.Until(req.deadline)-d.RoundTrip),
 	})
 	info := g.dialect.Response(res.Header)
-	req.latestAttempt, req.latestLoad = &res, info
 	now := time.Now()
 	observation := &placement.AttemptResult{
 		ConnectTime: res.ConnectDuration, Duration: res.Duration,
@@ -178,6 +177,7 @@
 		Failed:    res.ServerFault || res.TooLargeWithoutLength || res.Outcome == backend.Completed && res.Status >= http.StatusInternalServerError && res.Status != http.StatusGatewayTimeout,
 		Requests:  info.Load.Running + info.Load.Waiting, HasRequests: info.HasLoad,
 	}
+	req.latestAttempt, req.latestLoad = observation, info
 	ejected := false
 	g.withTable(func(t *placement.Table) { ejected = t.EndAttempt(d, req.placementRequest(), observation, now) })
 	if ejected {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -14,7 +14,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/foxtailtack/foxtailtack/internal/backend"
 	"github.com/foxtailtack/foxtailtack/internal/bodies"
 	"github.com/foxtailtack/foxtailtack/internal/catalog"
 	"github.com/foxtailtack/foxtailtack/internal/guard"
@@ -80,7 +79,7 @@
 	latestResponse *response
 	latestDecision placement.Decision
 	// latestAttempt is the result of the latest attempt, nil if there was none. latestLoad is the load that its response reported.
-	latestAttempt *backend.Result
+	latestAttempt *placement.AttemptResult
 	latestLoad    ResponseInfo
 	// epoch is the pause epoch in which the latest decision was made.
 	epoch pause.Epoch
@@ -191,7 +190,8 @@
 }
 
 // mayRunPipelined reports whether a request may run before the earlier requests on its connection are completed. This requires
-// that the request is idempotent. It holds also while servers are full: a request that waits on its connection is late for certain.
+// that the request is idempotent. Full servers are no reason to wait: it would save them no work, because callers send their requests
+// at the same rate.
 func (g *Gateway) mayRunPipelined(r *http.Request) bool {
 	configuration := g.follower.View().Configuration
 	if configuration == nil {
@@ -337,7 +337,7 @@
 		}
 	}
 	if a := req.latestAttempt; a != nil {
-		event.Int64("attempt_ms", a.Duration.Milliseconds()).Int64("connect_ms", a.ConnectDuration.Milliseconds())
+		event.Int64("attempt_ms", a.Duration.Milliseconds()).Int64("connect_ms", a.ConnectTime.Milliseconds())
 	}
 	if l := req.latestLoad; l.HasLoad {
 		event.Int("running", l.Load.Running).Int("waiting", l.Load.Waiting).Int("slots", l.Load.Slots)
