--- a/internal/losses/cause.go
+++ b/internal/losses/cause.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/foxtailtack/foxtailtack/internal/placement"
 )
 
 // Cause is what took most of the time of a late request, or why a request was rejected or failed.
@@ -160,12 +162,12 @@
 
 // rejectionCause returns why a host rejected a request, from the reason of its placement decision.
 func (r *Request) rejectionCause() Cause {
-	switch r.Reason {
-	case "servers_full_for_rank":
+	switch placement.Reason(r.Reason) {
+	case placement.ReasonServersFullForRank:
 		return ServerQueue
-	case "deadline_before_expected_answer":
+	case placement.ReasonDeadlineTooEarly:
 		return DeadlineTooShort
-	case "no_usable_server", "cold_limit":
+	case placement.ReasonNoUsableServer, placement.ReasonColdLimit:
 		return ServerFailure
 	}
 	if r.FailedAttempts > 0 {
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -28,11 +28,11 @@
 		order := topScored(usable, t.copies.reliefServers+1, func(s *catalog.ServerEntry) float64 {
 			return weightedScore(score(r.Object, s.ID), weights[t.regions[s.FailureDomain]])
 		})
-		return preferFirst(order, t.copies.reliefServers+1)
+		return preferFirst(order)
 	}
 	own, far := t.splitByRegion(usable)
 	byHash := func(s *catalog.ServerEntry) uint64 { return score(r.Object, s.ID) }
-	list := preferFirst(topScored(own, t.copies.reliefServers+1, byHash), t.copies.reliefServers+1)
+	list := preferFirst(topScored(own, t.copies.reliefServers+1, byHash))
 	for _, entry := range topScored(far, 1, byHash) {
 		list = append(list, candidate{entry, false})
 	}
@@ -51,8 +51,9 @@
 	return own, far
 }
 
-func preferFirst(order []*catalog.ServerEntry, count int) []candidate {
-	list := make([]candidate, min(count, len(order)))
+// preferFirst returns the servers as candidates, of which the first is preferred.
+func preferFirst(order []*catalog.ServerEntry) []candidate {
+	list := make([]candidate, len(order))
 	for i := range list {
 		list[i] = candidate{order[i], i == 0}
 	}
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -32,7 +32,7 @@
 		t := h.table
 		order := topScored(t.usable(req, r.now), len(r.view.Servers), func(s *catalog.ServerEntry) uint64 { return score(req.Object, s.ID) })
 		own, far := t.splitByRegion(order)
-		list, seen := preferFirst(own, reliefServers), map[string]bool{}
+		list, seen := preferFirst(own[:min(reliefServers, len(own))]), map[string]bool{}
 		for _, entry := range far {
 			if !seen[entry.FailureDomain] {
 				list = append(list, candidate{entry, true})
