--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -26,10 +26,12 @@
 // upstream is a server of a service. It runs slots requests at once, queues three times as many and rejects the others.
 type upstream struct {
 	id, service, zone string
-	slots             int
-	deployment        *deployment
-	listener          net.Listener
-	server            *http.Server
+	// address is where the upstream is reached.
+	address    string
+	slots      int
+	deployment *deployment
+	listener   net.Listener
+	server     *http.Server
 	// answerOf decides what happens to a request.
 	answerOf func(r *http.Request) answer
 	free     chan struct{}
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{id: id, service: service, zone: zone, slots: slots, deployment: d, listener: l, answerOf: answerOf, free: make(chan struct{}, slots), born: time.Now().UnixMilli()}
+	u := &upstream{id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, deployment: d, listener: l, answerOf: answerOf, free: make(chan struct{}, slots), born: time.Now().UnixMilli()}
 	u.server = &http.Server{Handler: u}
 	go func() { _ = u.server.Serve(l) }()
 	d.upstreams = append(d.upstreams, u)
@@ -61,7 +63,7 @@
 	defer u.mu.Unlock()
 	u.sequence++
 	data, _ := json.Marshal(map[string]any{
-		"Service": u.service, "Addr": u.listener.Addr().String(), "Zone": u.zone, "Version": "v1", "Slots": u.slots,
+		"Service": u.service, "Addr": u.address, "Zone": u.zone, "Version": "v1", "Slots": u.slots,
 		"State": state, "ColdLeftMs": 0, "Seq": u.sequence, "born": u.born,
 	})
 	return string(data)
