--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -108,6 +109,12 @@
 	return outcomes
 }
 
+// connectionEnded reports whether a connection ended without an answer, and not because its client stopped to wait.
+func connectionEnded(o outcome) bool {
+	var timeout net.Error
+	return o.err != nil && !(errors.As(o.err, &timeout) && timeout.Timeout())
+}
+
 func readAnswer(reader *bufio.Reader, r *request) outcome {
 	res, err := http.ReadResponse(reader, &http.Request{Method: r.method})
 	if err != nil {
--- a/review/standin/status.go
+++ b/review/standin/status.go
@@ -143,7 +143,7 @@
 					r.record.log("MIXED: %s got %d with the stamp %s, whose upstream had answered 000 Internal Server Error", list[i].id, o.status, o.stamp)
 				case o.status != 0 && o.err == nil:
 					counts.answered++
-				case at != "" && !faulty:
+				case i > 0 && connectionEnded(o) && at != "" && !faulty:
 					counts.lost++
 					r.record.log("LOST: %s was passed on to the sound upstream %s, and its kept connection ended without an answer: %v", list[i].id, at, o.err)
 				default:
