Reject responses with an invalid status

Cause: net/http's client accepts any three digits as a status, also 000. Nothing rejected it. A request that runs ahead of its turn has its response buffered, where 0 means "no status yet", so that the body made it 200; on any other request net/http's server panics and the connection ends with the requests behind it. Ruled out: a mix-up between requests (stamp and body are those of the request's own server) and a retry that hides the failure (failed_attempts=0).

Now a status below 200 counts as no response: the outcome is unknown, repeatable work may go to another server. 101 is included, since no attempt asks to switch protocols.

--- a/internal/backend/classify.go
+++ b/internal/backend/classify.go
@@ -9,6 +9,10 @@
 	"github.com/foxtailtack/foxtailtack/internal/result"
 )
 
+// minFinalStatus is the lowest status of a final response. net/http also accepts a response with a lower one, such as 000, and the
+// response to a request to switch protocols, which no attempt makes. Such a status cannot be sent to a caller.
+const minFinalStatus = http.StatusOK
+
 // errorResult classifies an attempt that ended with an error instead of a response.
 func (a *attempt) errorResult(ctx context.Context, err error) Result {
 	nothingWritten, hookErr := a.writes.close()
@@ -49,6 +53,10 @@
 	res := Result{Outcome: Unknown, Draining: draining}
 	echoed := response.Header.Get(a.protocol.RequestIDHeader)
 	conns.recordEcho(echoed != "")
+	if response.StatusCode < minFinalStatus {
+		res.Failure = result.Fail(result.IncompleteResponse, "the answer of %s has the invalid status %03d", a.server.ID, response.StatusCode)
+		return res
+	}
 	if echoed != a.req.ID && (echoed != "" || a.protocol.EchoRequired || a.wasReused()) {
 		res.Failure = result.Fail(result.ConnectionLost, "%s answered request %q instead of %q", a.server.ID, echoed, a.req.ID)
 		return res
--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,3 +95,49 @@
 		t.Errorf("the second request reached the server with %d ms (%v), want %d at most", left, err, most)
 	}
 }
+
+// Guards against a response with a status below 200 that is taken for the server's final one. To a request behind another on its connection
+// it became a success, and to any other a panic that ended the connection with the requests behind it.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		s := newServer(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasPrefix(r.URL.Path, "/look/bad") {
+				time.Sleep(50 * time.Millisecond)
+				respond(w, r, http.StatusOK)
+				return
+			}
+			conn := hijack(w)
+			defer func() { _ = conn.Close() }()
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Internal Server Error\r\nX-Request-Id: %s\r\nX-Server-Stamp: stamp\r\nContent-Length: 6\r\n\r\nfailed", status, r.Header.Get("X-Request-Id"))
+		})
+		h := startHost(t, s).configure()
+		conn, err := net.Dial("tcp", h.process.Address("caller_address").String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetDeadline(time.Now().Add(waitLimit))
+		paths := []string{"/look/bad-1", "/look/good-1", "/look/bad-2", "/look/good-2"}
+		for i, path := range paths {
+			_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: id-%d\r\nX-Deadline-Ms: 2500\r\n\r\n", path, i)
+		}
+		responses := bufio.NewReader(conn)
+		for _, path := range paths {
+			res, err := http.ReadResponse(responses, nil)
+			if err != nil {
+				t.Fatalf("status %s: no response to %s: %v", status, path, err)
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+			want := http.StatusOK
+			if strings.HasPrefix(path, "/look/bad") {
+				want = http.StatusBadGateway
+			}
+			if res.StatusCode != want {
+				t.Errorf("status %s: %s gets %d, want %d", status, path, res.StatusCode, want)
+			}
+		}
+		if strings.Contains(h.log.String(), "event=unexpected_error") {
+			t.Errorf("status %s: the handling of a response panicked", status)
+		}
+	}
+}
