Reject an invalid status of a pipelined request as net/http does

The buffer of a pipelined request took status 0 for "no status yet" and sent the response as 200, where net/http panics on any other request. TestInvalidStatusOfPipelinedRequestIsNotSent failed before: status 0 was sent as "200 OK".

--- a/internal/listener/pipelined_request.go
+++ b/internal/listener/pipelined_request.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"reflect"
 	"time"
@@ -18,6 +19,9 @@
 	maxPipelined = 4
 	// responseWriteTimeout bounds how long a caller may take to read a buffered response.
 	responseWriteTimeout = 30 * time.Second
+	// minStatus and maxStatus bound the statuses that net/http sends.
+	minStatus = 100
+	maxStatus = 999
 )
 
 // pipelinedRequest is a request that runs while previous requests of its connection are not completed. Its response is buffered until
@@ -52,8 +56,12 @@
 // Header implements http.ResponseWriter.
 func (pr *pipelinedRequest) Header() http.Header { return pr.header }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. Like net/http it panics if the status is invalid, so that a handler fails in the same way
+// on both paths.
 func (pr *pipelinedRequest) WriteHeader(status int) {
+	if status < minStatus || status > maxStatus {
+		panic(fmt.Sprintf("invalid WriteHeader code %d", status))
+	}
 	if pr.status == 0 {
 		pr.status = status
 	}
--- a/internal/listener/pipelined_request_test.go
+++ b/internal/listener/pipelined_request_test.go
@@ -189,6 +189,29 @@
 	}
 }
 
+// Guards against an invalid status that becomes a success: the response of a pipelined request was sent as 200 if its handler gave
+// status 0, while net/http rejects that status for any other request.
+func TestInvalidStatusOfPipelinedRequestIsNotSent(t *testing.T) {
+	for _, status := range []int{0, 99, 1000} {
+		d := startPipeliningTestListener(t, acceptImmediately(), 0, func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(10 * time.Millisecond)
+			if r.URL.Path == "/1" {
+				w.WriteHeader(status)
+			}
+			_, _ = io.WriteString(w, r.URL.Path)
+		}, allowAll)
+		conn := d.dial()
+		write(t, conn, get("/0")+get("/1"))
+		responses := bufio.NewReader(conn)
+		if body, _ := readResponse(t, responses); body != "/0" {
+			t.Errorf("response %q", body)
+		}
+		if more, _ := io.ReadAll(responses); len(more) > 0 {
+			t.Errorf("status %d: bytes in place of the missing response: %q", status, more)
+		}
+	}
+}
+
 // The scanner must find the same requests however their bytes are fragmented, and stop where the end of a request is unknown.
 func TestScannerFindsRequestsInAnyFragmentation(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
