Remember removed servers to reject their late heartbeats

Cause: a host ignores an entry that is older than the one it knows, but forgot what it knew when the entry was removed. Heartbeats that a partition had held up were executed after the removal, and their lower sequence was new to each host. Ruled out: hosts that missed the removal (each logged server_gone) and reads of old copies (the store itself had the entry).

--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -58,6 +58,7 @@
 	announced     Version
 	// servers holds the entries by id. Views share them, so they are replaced and never modified.
 	servers          map[string]*ServerEntry
+	departed         departedServers
 	evacuated        map[string]bool
 	hosts            map[string]*hostRecord
 	revision         Revision
@@ -175,7 +176,7 @@
 	s.events = nil
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
 		if e := s.servers[id]; e.Lapsed() && !now.Before(e.lapseEnd) {
-			delete(s.servers, id)
+			s.dropServer(e, now)
 			s.addEvent("server_gone", id, "the entry lapsed and was not written again", e.Revision)
 		}
 	}
@@ -296,9 +297,13 @@
 	s.addEvent("configuration_in_force", fmt.Sprint(c.Version), fmt.Sprintf("host names %d, services %d", len(c.Routes), len(c.Services)), revision)
 }
 
-// putServer stores an entry unless it is older than the known one of the same id. Entries of earlier incarnations and delayed
-// heartbeats would make a draining or stopped server available again.
+// putServer stores an entry unless it is older than the known one of the same id, or not later than the last one before the server was
+// removed. Entries of earlier incarnations and delayed heartbeats would make a draining or stopped server available again.
 func (s *State) putServer(server *Server, revision Revision, now time.Time) {
+	if removed, ok := s.departed.latest(server.ID); ok && (server.Incarnation < removed.incarnation || server.Incarnation == removed.incarnation && server.Sequence <= removed.sequence) {
+		s.addEvent("entry_ignored", server.ID, fmt.Sprintf("sequence %d of incarnation %d is not later than %d of %d, after which the server was removed", server.Sequence, server.Incarnation, removed.sequence, removed.incarnation), revision)
+		return
+	}
 	known := s.servers[server.ID]
 	if known != nil && (server.Incarnation < known.Incarnation || server.Incarnation == known.Incarnation && server.Sequence < known.Sequence) {
 		s.addEvent("entry_ignored", server.ID, fmt.Sprintf("sequence %d of incarnation %d is older than %d of %d", server.Sequence, server.Incarnation, known.Sequence, known.Incarnation), revision)
@@ -342,10 +347,16 @@
 		s.addEvent("server_lapsed", id, "the store was unavailable; the entry is kept for a grace period", revision)
 		return
 	}
-	delete(s.servers, id)
+	s.dropServer(known, now)
 	s.addEvent("server_gone", id, "", revision)
 }
 
+// dropServer deletes the entry of a server and remembers its latest heartbeat.
+func (s *State) dropServer(entry *ServerEntry, now time.Time) {
+	delete(s.servers, entry.ID)
+	s.departed.add(&entry.Server, now)
+}
+
 func (s *State) inLapseGrace(now time.Time) bool {
 	return !s.storeRecoveredAt.IsZero() && now.Before(s.storeRecoveredAt.Add(lapseGrace))
 }
