Answer each request before a stopping host exits

Cause: a stopping host keeps connections on which no request was sent yet, and passed their requests on however late they came. A second one was found by looking for others: a response that is ready waits for a slow one before it on its connection, and both ended with the process. Ruled out: requests that cross an idle close (no cut near 2.7 s) and responses lost after they were written (no line of the host has them).

Now a late request is passed on only if its deadline is before the exit, and rejected as not run otherwise, and requests that still run just before the exit get 504, so that the responses behind them are sent.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,11 +37,17 @@
 // dispatch makes attempts until a backend server has responded or no retry is allowed.
 func (req *request) dispatch(ctx context.Context) (*response, *result.Failure) {
 	g := req.g
+	if failure := req.checkStop(); failure != nil {
+		return nil, failure
+	}
 	g.withTable(func(t *placement.Table) {
 		req.target = t.Service(req.route, req.view.Configuration.Version)
 		t.RecordRequest(req.target)
 	})
-	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(responseMargin))
+	callerCtx := ctx
+	ctx, endDeadline := context.WithDeadline(ctx, req.deadline.Add(responseMargin))
+	defer endDeadline()
+	ctx, cancel := g.untilStop(ctx)
 	defer cancel()
 	for {
 		decision, failure := req.chooseServer()
@@ -50,6 +56,9 @@
 		}
 		attemptResult := req.attempt(ctx, &decision)
 		outcome := evaluate(req, &attemptResult)
+		if outcome.failure != nil && g.running.Err() != nil && callerCtx.Err() == nil {
+			outcome.failure = failureAtStop(outcome.failure)
+		}
 		g.logAttempt(req, &decision, &attemptResult, outcome)
 		if outcome.response != nil {
 			req.latestResponse = outcome.response
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/placement"
 	"github.com/foxtailtack/foxtailtack/internal/relay"
 	"github.com/foxtailtack/foxtailtack/internal/settings"
+	"github.com/foxtailtack/foxtailtack/internal/shutdown"
 	"github.com/foxtailtack/foxtailtack/internal/telemetry"
 	"github.com/foxtailtack/foxtailtack/internal/wait"
 )
@@ -94,7 +95,12 @@
 	startedAt   time.Time
 	startupWait time.Duration
 	// stopping is true from SIGTERM on.
-	stopping       atomic.Bool
+	stopping atomic.Bool
+	// stopPlan is nil until SIGTERM.
+	stopPlan atomic.Pointer[shutdown.Plan]
+	// running is cancelled by endRunning when a stopping host answers the requests that still run.
+	running        context.Context
+	endRunning     context.CancelFunc
 	activeRequests atomic.Int64
 	listeners      []*listener.Listener
 	// peerListener accepts connections of other hosts.
@@ -122,6 +128,7 @@
 		table:    placement.NewTable(placement.Settings{RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack}, s.HostID, s.FailureDomain, s.FailureDomains),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.running, g.endRunning = context.WithCancel(context.Background())
 	g.source = relay.NewSource(o.Store, g.self, s.Bootstrap, s.Bounds.Change(), func() *catalog.View { return g.follower.View() }, func(c *catalog.Configuration) { g.follower.ReceiveConfiguration(c) }, o.Log)
 	g.follower = catalog.NewFollower(g.source, o.Log)
 	g.pauses = pause.New(o.Clock, g.onPause)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -270,7 +270,8 @@
 	case req.info.CallerTimeout > 0:
 		remaining = req.info.CallerTimeout - time.Since(req.arrived)
 	}
-	freeSlot := req.shedWithFreeSlot(failure)
+	// Other hosts have free slots for a request that this one does not take because it is stopping.
+	freeSlot := failure.Code == result.HostLeaving || req.shedWithFreeSlot(failure)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if failure.Code == result.NotReady {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -3,26 +3,56 @@
 import (
 	"context"
 	"time"
-)
 
-const (
-	// serveShare is the share of the grace period for which a stopping host still accepts requests. Callers may still use look-up
-	// responses that include it.
-	serveShare = 0.45
-	// stopMargin is the time reserved at the end of the grace period, after which the platform kills the process.
-	stopMargin = 400 * time.Millisecond
+	"github.com/foxtailtack/foxtailtack/internal/result"
+	"github.com/foxtailtack/foxtailtack/internal/shutdown"
 )
 
+// checkStop returns the failure of a request that a stopping host does not pass on. The caller can use another host at once.
+func (req *request) checkStop() *result.Failure {
+	plan := req.g.stopPlan.Load()
+	if plan.MayStart(req.deadline, time.Now()) {
+		return nil
+	}
+	return result.Fail(result.HostLeaving, "the host exits %v before the deadline", req.deadline.Sub(plan.AnswerBy).Round(time.Millisecond))
+}
+
+// untilStop returns a context that is also cancelled when the host answers the requests that still run.
+func (g *Gateway) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(g.running, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// failureAtStop returns the failure of an attempt that was ended by the stop of the host.
+func failureAtStop(failure *result.Failure) *result.Failure {
+	switch failure.Code {
+	case result.CallerGone:
+		return result.Fail(result.HostLeaving, "the host exits before the request was sent")
+	case result.AttemptTimeout:
+		return result.Fail(result.AttemptTimeout, "the host exits before the answer: %s", failure.Message)
+	default:
+		return failure
+	}
+}
+
 // stop stops serving and lets running requests complete. The host reports at once that it is not ready and is removed from look-up
-// responses. It accepts requests while callers may use earlier look-up responses, and then waits for the running requests.
+// responses. It accepts connections while callers may use earlier look-up responses, and then waits for the running requests. Those that
+// are not completed in time get a failure, so that responses of requests behind them on the same connection are delivered.
 func (g *Gateway) stop() {
 	started := time.Now()
+	grace := g.settings.Bounds.StopGrace()
+	plan := shutdown.NewPlan(started, grace)
+	g.stopPlan.Store(plan)
 	g.stopping.Store(true)
 	g.listener(callerListener).AnnounceClose()
-	grace := g.settings.Bounds.StopGrace()
 	g.log.Info().Int64("active", g.activeRequests.Load()).Dur("grace_ms", grace).Msg("stopping")
-	time.Sleep(time.Duration(serveShare * float64(grace)))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-stopMargin))
+	defer time.AfterFunc(time.Until(plan.AnswerBy), g.endRequests).Stop()
+	time.Sleep(time.Until(plan.LateFrom))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.ExitBy)
 	defer cancel()
 	for _, l := range g.listeners {
 		if err := l.Drain(ctx); err != nil {
@@ -35,3 +65,11 @@
 	g.backends.Close()
 	g.log.Info().Dur("took_ms", time.Since(started)).Msg("stopped")
 }
+
+// endRequests answers the requests that still run with a failure.
+func (g *Gateway) endRequests() {
+	if active := g.activeRequests.Load(); active > 0 {
+		g.log.Warn().Int64("active", active).Msg("requests_ended")
+	}
+	g.endRunning()
+}
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -186,6 +187,13 @@
 	return h.exited
 }
 
+// gone returns a channel that is closed when the current process exits.
+func (h *host) gone() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.exited
+}
+
 func (h *host) isReady() bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := client.Get("http://" + h.readyAddress.String() + "/readyz")
@@ -200,6 +208,8 @@
 type execution struct {
 	server    string
 	startedAt time.Time
+	// endedAt is the end of the execution, zero while it runs.
+	endedAt time.Time
 }
 
 // executionLog records the executions of each request on the backend servers, by request id.
@@ -211,7 +221,26 @@
 func (l *executionLog) add(id, server string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.byRequest[id] = append(l.byRequest[id], execution{server, time.Now()})
+	l.byRequest[id] = append(l.byRequest[id], execution{server: server, startedAt: time.Now()})
+}
+
+// end records the end of the latest execution of a request.
+func (l *executionLog) end(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := l.byRequest[id]
+	list[len(list)-1].endedAt = time.Now()
+}
+
+// latest returns the latest execution of a request, and whether there is one.
+func (l *executionLog) latest(id string) (execution, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := l.byRequest[id]
+	if len(list) == 0 {
+		return execution{}, false
+	}
+	return list[len(list)-1], true
 }
 
 // server is a backend server behind a relay.
@@ -272,7 +301,11 @@
 		return
 	}
 	d.executions.add(id, s.id)
-	time.Sleep(time.Duration(5+rand.IntN(20)) * time.Millisecond)
+	select {
+	case <-time.After(workTime(r)):
+	case <-r.Context().Done():
+	}
+	d.executions.end(id)
 	switch fault := d.responseFaultPercent.Load(); {
 	case fault > 0 && rand.IntN(100) < int(fault):
 		panic(http.ErrAbortHandler)
@@ -284,6 +317,16 @@
 	_, _ = fmt.Fprintf(w, "%s %s", id, body)
 }
 
+// workHeader states the work of a request in milliseconds. Without it a request is short.
+const workHeader = "X-Work-Ms"
+
+func workTime(r *http.Request) time.Duration {
+	if ms, err := strconv.Atoi(r.Header.Get(workHeader)); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return time.Duration(5+rand.IntN(20)) * time.Millisecond
+}
+
 // checkArrival records a violation if a request reaches the server later than drainBound after its drain notice, while no fault
 // has been active for stableWindow.
 func (s *server) checkArrival(d *deployment, id string) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -90,6 +90,24 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
+	d := startDeployment(t, seed)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for range 16 {
+		clients.Go(func() { d.runClient(stop) })
+	}
+	d.injectFaults()
+	d.waitServing("after the faults")
+	d.checkNewConfiguration()
+	d.checkNotices()
+	d.checkPlannedStops()
+	close(stop)
+	clients.Wait()
+	d.report()
+}
+
+// startDeployment starts the store, the servers and the hosts, and waits until each host serves.
+func startDeployment(t *testing.T, seed uint64) *deployment {
 	d := &deployment{t: t, run: int(runCounter.Add(1)), dir: makeLogDir(t, seed), rng: rand.New(rand.NewPCG(seed, 7)), kv: kvstore.New(), executions: &executionLog{byRequest: map[string][]execution{}}, lastFaultEnd: time.Now(), failures: make(chan string, 1000)}
 	store := httptest.NewServer(d.kv)
 	t.Cleanup(func() {
@@ -111,19 +129,7 @@
 		t.Cleanup(func() { <-d.hosts[i].signal(syscall.SIGKILL) })
 	}
 	d.waitServing("after the start")
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for range 16 {
-		clients.Go(func() { d.runClient(stop) })
-	}
-	d.injectFaults()
-	d.waitServing("after the faults")
-	d.checkNewConfiguration()
-	d.checkNotices()
-	d.checkPlannedStops()
-	close(stop)
-	clients.Wait()
-	d.report()
+	return d
 }
 
 // makeLogDir creates the folder for the settings and logs of a seed. Those of a failed seed are always kept, since the failure
@@ -151,6 +157,8 @@
 	d.version++
 	rules := fmt.Sprintf(`{"Name":"look","Kind":"idempotent","GoalMs":400,"Priority":1,"Sticky":true,"Match":{"Prefix":"/look/"},"Action":{"Service":"s","TimeoutMs":1500,"Attempts":2}},
 {"Name":"pay","Kind":"non_idempotent","GoalMs":400,"Priority":0,"Sticky":true,"Match":{"Prefix":"/pay/"},"Action":{"Service":"s","TimeoutMs":1500,"Attempts":2}},
+{"Name":"browse","Kind":"idempotent","GoalMs":3000,"Priority":2,"Match":{"Prefix":"/browse/"},"Action":{"Service":"s","TimeoutMs":10000,"Attempts":2}},
+{"Name":"book","Kind":"non_idempotent","GoalMs":2000,"Priority":1,"Match":{"Prefix":"/book/"},"Action":{"Service":"s","TimeoutMs":6000,"Attempts":2}},
 {"Name":"only","Kind":"idempotent","GoalMs":400,"Priority":1,"Match":{"Prefix":"/only%d/"},"Action":{"Service":"s","TimeoutMs":1500,"Attempts":2}}`, d.version)
 	d.kv.Put("op/config", fmt.Sprintf(`{"Version":"%08x","Limits":{"HeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Listeners":[{"Host":"shop","Rules":[%s]}],"Clusters":[{"Name":"s","HealthPath":"/healthz","MaxConns":400,"ColdS":3,"ColdPerS":15}]}`, d.version, rules))
 	return d.version
