Reject requests that a stopping entry host cannot complete

TestStoppingHostRejectsRequestsThatItMayNotComplete failed before the check (the request with a timeout of 4 s was passed on).

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -21,6 +21,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 	"github.com/foxtailtack/foxtailtack/internal/rank"
 	"github.com/foxtailtack/foxtailtack/internal/result"
+	"github.com/foxtailtack/foxtailtack/internal/shutdown"
 )
 
 // Headers between callers and entry hosts.
@@ -40,12 +41,17 @@
 	Handle(context.Context, *forward.Request) *forward.Response
 }
 
+// retryAtOtherHost is the time after which the caller of a request that a stopping host rejects should retry. Other hosts are not affected.
+const retryAtOtherHost = 20 * time.Millisecond
+
 // callerHandler is the HTTP interface for callers.
 type callerHandler struct {
 	snapshot func() *policy.Snapshot
 	pipeline requestHandler
 	identity func() peer.Identity
 	metrics  *callerMetrics
+	// stopPlan returns the plan of a planned stop, nil while the host is not stopping.
+	stopPlan func() *shutdown.Plan
 }
 
 func (h *callerHandler) register(router *mux.Router) {
@@ -62,6 +68,9 @@
 	ctx, span := tracer.Start(ctx, "entry")
 	defer span.End()
 	request, failure := h.readRequest(w, r)
+	if failure == nil {
+		failure = h.checkStop(start.Add(request.Timeout))
+	}
 	if failure != nil {
 		h.metrics.recordRequest(rank.Deferrable, failure.Code, time.Since(start))
 		result.Write(w, failure)
@@ -76,6 +85,14 @@
 	h.writeResponse(w, response)
 }
 
+// checkStop returns the failure of a request that a stopping host may not complete before it exits.
+func (h *callerHandler) checkStop(deadline time.Time) *result.Failure {
+	if h.stopPlan().MayStart(deadline, time.Now()) {
+		return nil
+	}
+	return result.Fail(result.HostLeaving, "the host exits before the deadline of the request").After(retryAtOtherHost)
+}
+
 // readRequest validates a request and sets its rank to the lower of the route's rank and the highest rank of the credential.
 func (h *callerHandler) readRequest(w http.ResponseWriter, r *http.Request) (*forward.Request, *result.Failure) {
 	snapshot := h.snapshot()
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 	"github.com/foxtailtack/foxtailtack/internal/rank"
 	"github.com/foxtailtack/foxtailtack/internal/result"
+	"github.com/foxtailtack/foxtailtack/internal/shutdown"
 )
 
 const callersPolicy = `
@@ -69,7 +70,11 @@
 `
 
 // recordingPipeline records the request that reached the pipeline.
-type recordingPipeline struct{ request *forward.Request }
+type recordingPipeline struct {
+	request *forward.Request
+	// stopPlan is the plan of the host's stop, if it is stopping.
+	stopPlan *shutdown.Plan
+}
 
 func (r *recordingPipeline) Handle(_ context.Context, request *forward.Request) *forward.Response {
 	r.request = request
@@ -93,6 +98,7 @@
 		pipeline: recording,
 		identity: func() peer.Identity { return peer.Identity{Host: "h1", Incarnation: 7} },
 		metrics:  newCallerMetrics(tally.NoopScope),
+		stopPlan: func() *shutdown.Plan { return recording.stopPlan },
 	}
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	handler.register(router)
@@ -142,6 +148,26 @@
 	}
 }
 
+// Guards against a request that is passed on late in a stop, on a connection that its caller has opened earlier, and cut without a response
+// when the process exits.
+func TestStoppingHostRejectsRequestsThatItMayNotComplete(t *testing.T) {
+	recording, handler := newCallersFixture(t)
+	for timeout, want := range map[string]result.Code{"4000": result.HostLeaving, "500": result.OK} {
+		now := time.Now()
+		recording.request, recording.stopPlan = nil, &shutdown.Plan{LateFrom: now, AnswerBy: now.Add(2 * time.Second)}
+		request := httptest.NewRequest("POST", "/s/orders/pay", nil)
+		request.Header.Set(headerTimeout, timeout)
+		response := httptest.NewRecorder()
+		handler.ServeHTTP(response, request)
+		if passedOn := recording.request != nil; passedOn != (want == result.OK) {
+			t.Errorf("a request with a timeout of %s ms is passed on: %v", timeout, passedOn)
+		}
+		if want != result.OK && (response.Header().Get(result.Header) != want.String() || !strings.Contains(response.Body.String(), `"not_run":true`)) {
+			t.Errorf("a request with a timeout of %s ms gets %d %s", timeout, response.Code, response.Body)
+		}
+	}
+}
+
 // A caller must not raise its own rank, neither by a header nor by using a route of a higher rank than its credential allows.
 func TestRankComesFromCredentialAndRoute(t *testing.T) {
 	cases := []struct {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/peer"
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 	"github.com/foxtailtack/foxtailtack/internal/settings"
+	"github.com/foxtailtack/foxtailtack/internal/shutdown"
 	"github.com/foxtailtack/foxtailtack/internal/slots"
 	"github.com/foxtailtack/foxtailtack/internal/telemetry"
 	"github.com/foxtailtack/foxtailtack/platform"
@@ -71,6 +72,8 @@
 	started     time.Time
 	// closing is true once this host accepts no more requests.
 	closing atomic.Bool
+	// stopPlan is nil until the process is to stop.
+	stopPlan atomic.Pointer[shutdown.Plan]
 	// activeForwards is the number of running requests that other hosts forwarded to this one.
 	activeForwards atomic.Int64
 
@@ -149,6 +152,7 @@
 		pipeline: e.pipeline,
 		identity: e.cluster.identity,
 		metrics:  newCallerMetrics(e.metrics.Scope),
+		stopPlan: e.stopPlan.Load,
 	}
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.HandleFunc(lookup.Path, e.serveLookup).Methods(http.MethodGet, http.MethodHead)
--- a/internal/entry/peerhandler.go
+++ b/internal/entry/peerhandler.go
@@ -61,7 +61,8 @@
 
 // Forward implements peer.Handler.
 func (h peerHandler) Forward(ctx context.Context, request *forward.Request) *forward.Response {
-	if h.entry.closing.Load() {
+	deadline, _ := ctx.Deadline()
+	if h.entry.closing.Load() || !h.entry.stopPlan.Load().MayStart(deadline, time.Now()) {
 		return forward.FailureResponse(result.Fail(result.HostLeaving, "entry host %s is stopping", h.entry.settings.HostID))
 	}
 	return h.entry.handleForwarded(ctx, request)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/foxtailtack/foxtailtack/internal/membership"
+	"github.com/foxtailtack/foxtailtack/internal/shutdown"
 	"github.com/foxtailtack/foxtailtack/internal/wait"
 )
 
@@ -28,7 +29,9 @@
 	e.callerServer.AnnounceClose()
 	lookupWait := e.maxLookupTTL() + lookupExpiryMargin
 	e.log.Info().Dur("wait", lookupWait).Msg("leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Limits.StopTimeout())
+	exitBy := started.Add(e.settings.Limits.StopTimeout())
+	e.stopPlan.Store(&shutdown.Plan{LateFrom: started.Add(lookupWait), AnswerBy: exitBy.Add(-responseWriteTime), ExitBy: exitBy})
+	ctx, cancel := context.WithDeadline(context.Background(), exitBy)
 	defer cancel()
 	e.sendHeartbeats(ctx)
 	e.sendSummaries(ctx)
