Keep the memory of pipelined responses reserved until they are sent

Cause: the response of a request that runs before its turn was copied into a buffer of the listener, and its handler returned and released what it had reserved for it. The copies, up to four of any size on each connection, were in no budget. Ruled out: bodies that are being read (within the budget) and the number of connections.

Now the handler waits for its turn before the first byte of its response and writes to the connection itself, so it holds its reservation and there is no copy. While more than half of the budget is in use, no request runs before its turn.

--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -22,11 +22,14 @@
 var ErrBudgetExceeded = errors.New("memory budget for bodies is exhausted")
 
 // Budget limits the memory that the bodies of all requests use. It is safe for concurrent use.
-type Budget struct{ free atomic.Int64 }
+type Budget struct {
+	total int64
+	free  atomic.Int64
+}
 
 // NewBudget returns a budget of the given number of bytes.
 func NewBudget(bytes int64) *Budget {
-	b := &Budget{}
+	b := &Budget{total: bytes}
 	b.free.Store(bytes)
 	return b
 }
@@ -34,6 +37,9 @@
 // Free returns the number of bytes that are not reserved.
 func (b *Budget) Free() int64 { return b.free.Load() }
 
+// IsScarce reports whether more than half of the budget is reserved. Work that can wait without a body in memory should wait then.
+func (b *Budget) IsScarce() bool { return b.Free() < b.total/2 }
+
 func (b *Budget) reserve(bytes int64) bool {
 	if b.free.Add(-bytes) >= 0 {
 		return true
--- a/internal/bodies/bodies_test.go
+++ b/internal/bodies/bodies_test.go
@@ -56,3 +56,18 @@
 		t.Errorf("%q, %v", body, err)
 	}
 }
+
+// Guards against work that goes on filling the memory for bodies while it is nearly used up.
+func TestBudgetIsScarceFromHalfOn(t *testing.T) {
+	b := NewBudget(100 << 10)
+	r := b.NewReservation()
+	if b.IsScarce() {
+		t.Error("an unused budget is scarce")
+	}
+	if !r.grow(freeBytesPerRequest+60<<10) || !b.IsScarce() {
+		t.Errorf("a budget with %d bytes left of %d is not scarce", b.Free(), 100<<10)
+	}
+	if r.Release(); b.IsScarce() {
+		t.Error("a budget is scarce after all was released")
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -191,10 +191,10 @@
 
 // mayRunPipelined reports whether a request may run before the earlier requests on its connection are completed. This requires
 // that the request is idempotent. Full servers are no reason to wait: it would save them no work, because callers send their requests
-// at the same rate.
+// at the same rate. A response that waits for earlier ones takes memory, so none runs ahead while the memory for bodies is scarce.
 func (g *Gateway) mayRunPipelined(r *http.Request) bool {
 	configuration := g.follower.View().Configuration
-	if configuration == nil {
+	if configuration == nil || g.bodies.IsScarce() {
 		return false
 	}
 	route := configuration.Route(hostName(r.Host), r.URL.EscapedPath())
--- a/internal/listener/pipelined_request.go
+++ b/internal/listener/pipelined_request.go
@@ -24,18 +24,27 @@
 	maxStatus = 999
 )
 
-// pipelinedRequest is a request that runs while previous requests of its connection are not completed. Its response is buffered until
-// the previous responses have been sent. It implements http.ResponseWriter for its handler.
+// pipelinedRequest is a request that runs while previous requests of its connection are not completed. Its handler waits before the first
+// byte of its response until the previous responses have been sent, so that a response does not outlive the memory that its handler has
+// reserved for it. It implements http.ResponseWriter for its handler.
 type pipelinedRequest struct {
 	request *http.Request
 	cancel  context.CancelFunc
-	// done is closed when the response is complete. aborted is true if the handler panicked.
+	// turn delivers the connection's writer once the previous responses have been sent.
+	turn chan http.ResponseWriter
+	// done is closed when the handler has returned. aborted is true if it panicked.
 	done    chan struct{}
 	aborted bool
 
-	status int
 	header http.Header
-	body   bytes.Buffer
+	// writer is the connection's writer from the first byte of the response on, and nil before. Only the handler uses it until done is
+	// closed.
+	writer http.ResponseWriter
+}
+
+func newPipelinedRequest(ctx context.Context, r *http.Request) *pipelinedRequest {
+	ctx, cancel := context.WithCancel(ctx)
+	return &pipelinedRequest{request: r.WithContext(ctx), cancel: cancel, turn: make(chan http.ResponseWriter, 1), done: make(chan struct{}), header: http.Header{}}
 }
 
 // start runs the handler in a goroutine.
@@ -56,46 +65,54 @@
 // Header implements http.ResponseWriter.
 func (pr *pipelinedRequest) Header() http.Header { return pr.header }
 
-// WriteHeader implements http.ResponseWriter. Like net/http it panics if the status is invalid, so that a handler fails in the same way
-// on both paths.
+// WriteHeader implements http.ResponseWriter. It waits until the previous responses have been sent. Like net/http it panics if the status
+// is invalid, so that a handler fails in the same way on both paths.
 func (pr *pipelinedRequest) WriteHeader(status int) {
 	if status < minStatus || status > maxStatus {
 		panic(fmt.Sprintf("invalid WriteHeader code %d", status))
 	}
-	if pr.status == 0 {
-		pr.status = status
+	if pr.writer != nil {
+		return
+	}
+	select {
+	case <-pr.request.Context().Done():
+		return
+	case pr.writer = <-pr.turn:
+	}
+	header := pr.writer.Header()
+	for name, values := range pr.header {
+		header[name] = values
 	}
+	// An error means that the connection is closed, and then the writes fail too.
+	_ = http.NewResponseController(pr.writer).SetWriteDeadline(time.Now().Add(responseWriteTimeout))
+	pr.writer.WriteHeader(status)
 }
 
-// Write implements http.ResponseWriter.
+// Write implements http.ResponseWriter. It fails if the request is cancelled before the previous responses have been sent.
 func (pr *pipelinedRequest) Write(p []byte) (int, error) {
 	pr.WriteHeader(http.StatusOK)
-	return pr.body.Write(p)
+	if pr.writer == nil {
+		return 0, Error.Wrap(pr.request.Context().Err())
+	}
+	return pr.writer.Write(p)
 }
 
 // SetReadDeadline, SetWriteDeadline and EnableFullDuplex exist for handlers that use http.ResponseController. They do nothing, because
-// the response is buffered and written to the connection later.
-func (pr *pipelinedRequest) SetReadDeadline(time.Time) error { return nil }
-func (e *pipelinedRequest) SetWriteDeadline(time.Time) error { return nil }
-func (e *pipelinedRequest) EnableFullDuplex() error          { return nil }
+// the connection's writer is not known yet.
+func (pr *pipelinedRequest) SetReadDeadline(time.Time) error  { return nil }
+func (pr *pipelinedRequest) SetWriteDeadline(time.Time) error { return nil }
+func (pr *pipelinedRequest) EnableFullDuplex() error          { return nil }
 
-// writeResponse waits for the response and writes it to w. It is called after the responses to all previous requests have been sent.
-// Cancelling ctx cancels the request.
+// writeResponse lets the handler write its response to w, and waits until it has returned. It is called after the responses to all
+// previous requests have been sent. Cancelling ctx cancels the request.
 func (pr *pipelinedRequest) writeResponse(ctx context.Context, w http.ResponseWriter) {
 	defer context.AfterFunc(ctx, pr.cancel)()
+	pr.turn <- w
 	<-pr.done
 	pr.cancel()
-	if pr.aborted || pr.status == 0 {
+	if pr.aborted || pr.writer == nil {
 		panic(http.ErrAbortHandler)
 	}
-	header := w.Header()
-	for name, values := range pr.header {
-		header[name] = values
-	}
-	// An error means that the connection is closed, and then the writes fail too.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(responseWriteTimeout))
-	w.WriteHeader(pr.status)
-	_, _ = w.Write(pr.body.Bytes())
 }
 
 // pipelineRunner runs pipelined requests concurrently. mayRun reports whether a request may run while previous requests of its
@@ -189,8 +206,7 @@
 	if err != nil || !c.runner.mayRun(r) {
 		return false
 	}
-	ctx, cancel := context.WithCancel(withReceivedAt(context.Background(), next.receivedAt))
-	pr := &pipelinedRequest{request: r.WithContext(ctx), cancel: cancel, done: make(chan struct{}), header: http.Header{}}
+	pr := newPipelinedRequest(withReceivedAt(context.Background(), next.receivedAt), r)
 	if c.pipelined == nil {
 		c.pipelined = map[int]*pipelinedRequest{}
 	}
