Reset connections of attempts that were given up

Callers and servers saw: requests, orders among them, reach servers seconds after the attempt was given up, when the servers had left (DRAIN) or their failure domain had been evacuated (EVAC).

Cause: the connection of an attempt that is given up was closed in order. The kernel goes on sending what a partition holds up, and the request arrives whole when the partition ends.

Now a connection is reset if it is closed before the server has begun to respond to its attempt, or after a response to another request.

--- a/internal/backend/classify.go
+++ b/internal/backend/classify.go
@@ -58,6 +58,7 @@
 		return res
 	}
 	if echoed != a.req.ID && (echoed != "" || a.protocol.EchoRequired || a.wasReused()) {
+		a.writes.setAnswered(false)
 		res.Failure = result.Fail(result.ConnectionLost, "%s answered request %q instead of %q", a.server.ID, echoed, a.req.ID)
 		return res
 	}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -164,7 +164,7 @@
 		Body:          newSingleUseBody(a.req.Body),
 		ContentLength: int64(len(a.req.Body)),
 	}
-	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
+	trace := &httptrace.ClientTrace{GotConn: a.gotConn, GotFirstResponseByte: func() { a.writes.setAnswered(true) }}
 	return out.WithContext(httptrace.WithClientTrace(ctx, trace)), nil
 }
 
--- a/internal/backend/writetracker.go
+++ b/internal/backend/writetracker.go
@@ -32,6 +32,8 @@
 	closed  bool
 	hookErr error
 	written int64
+	// answered is true once the server has begun to respond, and so has the request.
+	answered bool
 }
 
 // beginWrite decides whether a write may be passed to the kernel, and runs the BeforeWrite hook before the first one.
@@ -75,6 +77,18 @@
 	return !w.maybeSent, w.hookErr
 }
 
+func (w *writeTracker) setAnswered(answered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered = answered
+}
+
+func (w *writeTracker) isAnswered() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answered
+}
+
 func (w *writeTracker) bytes() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -118,8 +132,16 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. If the connection is closed before the server has begun to respond to its attempt, it is reset: after an
+// orderly close the kernel would go on sending bytes of the request that have not arrived, and the server would run a request that was given up.
 func (c *trackedConn) Close() error {
 	c.releaseOnce.Do(c.limit.release)
+	c.mu.Lock()
+	incomplete := c.writes != nil && !c.writes.isAnswered()
+	c.mu.Unlock()
+	if socket, ok := c.Conn.(*net.TCPConn); ok && incomplete {
+		// If the option cannot be set, the connection is broken, and nothing more is sent.
+		_ = socket.SetLinger(0)
+	}
 	return c.Conn.Close()
 }
