Limit the memory of bodies over all requests of an entry host

Operators of similar systems reported servers whose responses never end, and a machine that kept them all until it had no memory. In foxtailtack entry each body had the limit of its policy, 4 MiB by default and 64 MiB at most, and all bodies together had none: some hundred attempts at such servers take gigabytes.

Now the bodies that are being read share one budget, limits.max_body_memory_mb (256 MiB by default), as in foxtailtack gateway. An attempt that exceeds it fails with answer_too_large.

--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -55,11 +55,20 @@
 	capacity, reserved int64
 }
 
-// NewReservation returns a reservation for the bodies of one request. It has to be released when the request is complete.
-func (b *Budget) NewReservation() *Reservation { return &Reservation{budget: b} }
+// NewReservation returns a reservation for the bodies of one request. It has to be released when the request is complete. Without a budget
+// it returns nil.
+func (b *Budget) NewReservation() *Reservation {
+	if b == nil {
+		return nil
+	}
+	return &Reservation{budget: b}
+}
 
 // Release returns the reserved bytes to the budget.
 func (h *Reservation) Release() {
+	if h == nil {
+		return
+	}
 	h.budget.free.Add(h.reserved)
 	h.reserved = 0
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/foxtailtack/foxtailtack/internal/backend"
+	"github.com/foxtailtack/foxtailtack/internal/bodies"
 	"github.com/foxtailtack/foxtailtack/internal/forward"
 	"github.com/foxtailtack/foxtailtack/internal/membership"
 )
@@ -19,6 +20,7 @@
 		Admitter:    e.capacity,
 		Router:      e.router,
 		Forwarder:   countingForwarder{trackingForwarder{e.peers, e.router}, e.metrics.Scope},
+		Bodies:      bodies.NewBudget(e.settings.Limits.BodyMemory()),
 		Attempter:   &backend.Observer{Client: e.backends, Registry: e.registry},
 		BeforeWrite: e.checkSlotWritable,
 	})
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -84,6 +84,8 @@
 	}
 	ctx, span := c.span(ctx, "attempt", serverAttribute(server.ID))
 	defer span.End()
+	reservation := c.pipeline.options.Bodies.NewReservation()
+	defer reservation.Release()
 	res := c.pipeline.options.Attempter.Do(ctx, c.service, server, &backend.Request{
 		ID:            c.req.ID,
 		Method:        c.req.Method,
@@ -92,6 +94,7 @@
 		Body:          c.req.Body,
 		Repeatable:    c.req.Repeatable,
 		NewConnection: newConnection,
+		Bodies:        reservation,
 		TraceParent:   traceParent(ctx),
 		BeforeWrite:   c.beforeWrite(t.permit),
 		OnConnected:   func(reused bool) { t.reused.Store(reused) },
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxtailtack/foxtailtack/internal/bodies"
 	"github.com/foxtailtack/foxtailtack/internal/membership"
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 	"github.com/foxtailtack/foxtailtack/internal/rank"
@@ -41,6 +42,8 @@
 	Router    Router
 	Forwarder Forwarder
 	Attempter Attempter
+	// Bodies limits the memory of response bodies while they are read, over all attempts. Nil means no limit.
+	Bodies *bodies.Budget
 	// BeforeWrite runs before the first byte of each attempt, with the permit that the attempt uses. An error means that the
 	// process was paused and has lost the slot; then nothing is sent.
 	BeforeWrite func(Permit) error
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -27,6 +27,8 @@
 	defaultMaxConnections = 10_000
 	defaultMaxHeaderBytes = 32 << 10
 	defaultStopTimeoutMs  = 30_000
+	// defaultMaxBodyMemoryMB covers two responses of the largest size that a policy may allow, while their buffers grow.
+	defaultMaxBodyMemoryMB = 256
 )
 
 // Load reads and validates a settings file. The error names the file and, if known, the line and the key.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,8 @@
 	MaxHeaderBytes int `toml:"max_header_bytes" validate:"min=1,max=1048576"`
 	// StopTimeoutMs is the timeout of a graceful shutdown in milliseconds. Default 30000.
 	StopTimeoutMs int `toml:"stop_timeout_ms" validate:"min=1,max=600000"`
+	// MaxBodyMemoryMB is the memory that response bodies may take while they are read, in megabytes, over all requests. Default 256.
+	MaxBodyMemoryMB int `toml:"max_body_memory_mb" validate:"min=0,max=1048576"`
 }
 
 // Comparison holds switches that disable mechanisms, so that measurements can be compared with a baseline.
@@ -72,6 +74,14 @@
 // StopTimeout returns the timeout of a graceful shutdown.
 func (l Limits) StopTimeout() time.Duration { return time.Duration(l.StopTimeoutMs) * time.Millisecond }
 
+// BodyMemory returns the memory that response bodies may take while they are read, in bytes.
+func (l Limits) BodyMemory() int64 {
+	if l.MaxBodyMemoryMB == 0 {
+		return defaultMaxBodyMemoryMB << 20
+	}
+	return int64(l.MaxBodyMemoryMB) << 20
+}
+
 // isStoreURL reports whether text is an http or https URL whose host is an IP address and port.
 func isStoreURL(text string) bool {
 	u, err := url.Parse(text)
