--- a/internal/forward/bodies_test.go
+++ b/internal/forward/bodies_test.go
@@ -1,11 +1,9 @@
 package forward
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -20,32 +18,17 @@
 
 // startEndlessServer starts a server whose responses have bodies without end, and returns its address.
 func startEndlessServer(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listen, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listen.Close() })
-	go func() {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(backend.HeaderRequestID, r.Header.Get(backend.HeaderRequestID))
+		piece := make([]byte, 8<<10)
 		for {
-			conn, err := listen.Accept()
-			if err != nil {
+			if _, err := w.Write(piece); err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+backend.HeaderRequestID+": "+r.Header.Get(backend.HeaderRequestID)+"\r\nTransfer-Encoding: chunked\r\n\r\n")
-				for chunk := "2000\r\n" + string(make([]byte, 8<<10)) + "\r\n"; err == nil; {
-					_, err = io.WriteString(conn, chunk)
-				}
-			}()
 		}
-	}()
-	return netip.MustParseAddrPort(listen.Addr().String())
+	}))
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
 }
 
 // Guards against servers whose bodies never end: each stayed below the limit of one response, and all together took the memory of the
