Count answers of a stopping host's own as lost in the soak's stops

The platform counts a request that a stopping host breaks off and answers itself like one whose connection it closes. The check of stops in series counted connections without a response only. Stops of hosts have one function now.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -210,15 +210,20 @@
 	d.plannedStop.Store(true)
 	defer d.plannedStop.Store(false)
 	for _, h := range d.hosts[:2] {
-		select {
-		case <-h.signal(syscall.SIGTERM):
-		case <-time.After(stopGrace):
-			d.fail("host %s still runs %v after SIGTERM", h.name, stopGrace)
-			<-h.signal(syscall.SIGKILL)
-		}
-		d.restart(h)
-		d.waitServing("after the planned stop of " + h.name)
+		d.stopAndRestart(h)
+	}
+}
+
+// stopAndRestart stops a host and starts it again. The host must exit within stopGrace.
+func (d *deployment) stopAndRestart(h *host) {
+	select {
+	case <-h.signal(syscall.SIGTERM):
+	case <-time.After(stopGrace):
+		d.fail("host %s still runs %v after SIGTERM", h.name, stopGrace)
+		<-h.signal(syscall.SIGKILL)
 	}
+	d.restart(h)
+	d.waitServing("after the planned stop of " + h.name)
 }
 
 // runClient sends requests sequentially over keep-alive connections until stop is closed.
--- a/test/soak/stops_test.go
+++ b/test/soak/stops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -11,7 +12,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -62,7 +62,8 @@
 	time.Sleep(time.Second)
 	for range *stopRounds {
 		for _, h := range s.hosts {
-			s.stop(h)
+			s.stops.Store(h, time.Now())
+			s.stopAndRestart(h)
 		}
 	}
 	close(end)
@@ -79,18 +80,6 @@
 	stops sync.Map
 }
 
-func (s *stopCheck) stop(h *host) {
-	s.stops.Store(h, time.Now())
-	select {
-	case <-h.signal(syscall.SIGTERM):
-	case <-time.After(stopGrace):
-		s.fail("host %s still runs %v after SIGTERM", h.name, stopGrace)
-		<-h.signal(syscall.SIGKILL)
-	}
-	s.restart(h)
-	s.waitServing("after the stop of " + h.name)
-}
-
 // stopRequest is a request of a client around a stop.
 type stopRequest struct {
 	id, method, path string
@@ -199,6 +188,9 @@
 			return false
 		}
 		s.checkExecutions(r.id, r.method == http.MethodPost, res.StatusCode)
+		if res.StatusCode == http.StatusGatewayTimeout && res.Header.Get("X-Server-Stamp") == "" && s.isStopping(h) {
+			s.checkLost(h, r, errBrokenOff)
+		}
 		if res.StatusCode == http.StatusOK {
 			s.served.Add(1)
 		}
@@ -209,11 +201,20 @@
 	return len(requests) > 0
 }
 
-// checkLost records a request that a host has read around its stop and that got no response.
-func (s *stopCheck) checkLost(h *host, r *stopRequest, err error) {
+// errBrokenOff stands for a response of the host's own to a request that its server works on.
+var errBrokenOff = errors.New("broken off by the host")
+
+// isStopping reports whether a host has got SIGTERM and the platform's bound for its exit has not passed.
+func (s *stopCheck) isStopping(h *host) bool {
 	stopped, ok := s.stops.Load(h)
+	return ok && time.Since(stopped.(time.Time)) <= stopGrace+time.Second
+}
+
+// checkLost records a request that a host has read around its stop and that got no response of a server.
+func (s *stopCheck) checkLost(h *host, r *stopRequest, err error) {
+	stopped, _ := s.stops.Load(h)
 	closedAt := time.Now()
-	if !ok || closedAt.Sub(stopped.(time.Time)) > stopGrace+time.Second {
+	if !s.isStopping(h) {
 		s.fail("request %s%s to %s got no response without a stop: %v", r.path, r.id, h.name, err)
 		return
 	}
