Keep the stop of reading ahead from ending another read

Callers saw: requests sent behind each other are cancelled although their callers wait, with 504 or 499, or, since responses wait for their turn in their handlers, with a closed connection.

Cause: reading ahead is stopped by a read deadline in the past. A read of net/http that waits for the listener's could begin before that deadline was removed and end with it. net/http takes such a timeout for a broken connection and cancels all further requests of the connection.

--- a/internal/listener/pipelined_request_test.go
+++ b/internal/listener/pipelined_request_test.go
@@ -391,6 +391,38 @@
 	conn.completeRequest()
 }
 
+// Guards against a read of the server that ends with the deadline by which reading ahead is stopped. The server took the timeout for a broken
+// connection and cancelled all further requests of the connection, whose callers got failures, or no response.
+func TestStopOfReadAheadDoesNotEndAnotherRead(t *testing.T) {
+	for range 300 {
+		caller, conn := pipeliningConn(t, func(http.ResponseWriter, *http.Request) {})
+		write(t, caller, get("/0"))
+		if n, err := conn.Read(make([]byte, 4<<10)); n != len(get("/0")) {
+			t.Fatalf("read %d bytes, %v", n, err)
+		}
+		write(t, caller, "G")
+		if n, err := conn.Read(make([]byte, 1)); n != 1 {
+			t.Fatalf("read %d bytes, %v", n, err)
+		}
+		conn.begin(t, "/0", func() {})
+		result := make(chan error, 1)
+		began := make(chan struct{})
+		go func() {
+			close(began)
+			_, err := conn.Read(make([]byte, 1))
+			result <- err
+		}()
+		<-began
+		time.Sleep(200 * time.Microsecond)
+		conn.completeRequest()
+		write(t, caller, "E")
+		if err := <-result; err != nil {
+			t.Fatalf("the read ends with %v", err)
+		}
+		_, _ = caller.Close(), conn.TCPConn.Close()
+	}
+}
+
 // Reads of the server during a request must return the bytes of the connection in order, whoever has read them.
 func TestReadsDuringReadAheadKeepTheOrderOfBytes(t *testing.T) {
 	sent := make([]byte, 60<<10)
--- a/internal/listener/readahead.go
+++ b/internal/listener/readahead.go
@@ -11,20 +11,24 @@
 // readAhead holds bytes of later requests that were read while a request runs.
 type readAhead struct {
 	bytes []byte
-	// running is true while a goroutine reads ahead. changed is signalled when it has read bytes and when it stops.
-	running bool
-	changed *sync.Cond
+	// running is true while a goroutine reads ahead. stopping is true while it is being stopped by a read deadline in the past, which must
+	// not end another read. changed is signalled when bytes were read and when running or stopping changes.
+	running  bool
+	stopping bool
+	changed  *sync.Cond
 	// serverHasByte is true if the latest read of the server was for one byte and returned it.
 	serverHasByte bool
 }
 
 // takeReadAhead moves read-ahead bytes to p and returns their number. While a goroutine reads ahead, it waits for its bytes: two
-// concurrent reads from the connection would not keep their order.
+// concurrent reads from the connection would not keep their order. The server may wait here for the first byte of the next request when
+// the running one is completed. Its read must then not begin before the deadline that stops reading ahead is removed: the server takes a
+// timeout that it has not caused for a broken connection, and cancels all further requests of the connection.
 func (c *trackedConn) takeReadAhead(p []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ahead.serverHasByte = false
-	for len(c.ahead.bytes) == 0 && c.ahead.running {
+	for len(c.ahead.bytes) == 0 && (c.ahead.running || c.ahead.stopping) {
 		c.ahead.changed.Wait()
 	}
 	n := copy(p, c.ahead.bytes)
@@ -79,9 +83,12 @@
 	}
 	// The reading goroutine may be blocked in a read; a deadline in the past unblocks it. If setting the deadline fails, the read fails
 	// too.
+	c.ahead.stopping = true
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 	for c.ahead.running {
 		c.ahead.changed.Wait()
 	}
 	_ = c.SetReadDeadline(time.Time{})
+	c.ahead.stopping = false
+	c.ahead.changed.Broadcast()
 }
