--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,7 +59,7 @@
 	// StopTimeoutMs is the timeout of a graceful shutdown in milliseconds. Default 30000.
 	StopTimeoutMs int `toml:"stop_timeout_ms" validate:"min=1,max=600000"`
 	// MaxBodyMemoryMB is the memory that response bodies may take while they are read, in megabytes, over all requests. Default 256.
-	MaxBodyMemoryMB int `toml:"max_body_memory_mb" validate:"min=0,max=1048576"`
+	MaxBodyMemoryMB int `toml:"max_body_memory_mb,omitempty" validate:"min=0,max=1048576"`
 }
 
 // Comparison holds switches that disable mechanisms, so that measurements can be compared with a baseline.
