--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases 6 to 10, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-standin2 ./review/standin2
+go build -tags review -o target/review-standin2 ./review/standin2
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin2 runs the scripts of the second review. It starts entry hosts as processes, with the command of the deploy file, before
 // stand-ins of the platform's store, of upstreams and of clients on loopback addresses.
 package main
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
