--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -253,7 +253,7 @@
 	}
 	stopped := d.hosts[0]
 	var clients []*client
-	for i := range 8 {
+	for i := range 16 {
 		c, err := d.dial(fmt.Sprintf("%d, body of %d bytes,", i, bodyBytes(i)), stopped)
 		if err != nil {
 			return nil, err
