--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -159,8 +159,22 @@
 	return broken, nil
 }
 
-// stopAfterExpect stops a machine while clients wait for the answers to two requests that they have sent behind each other. Some of the
-// connections had a request with "Expect: 100-continue" before.
+// firstRequest is the form of the first request of a connection.
+type firstRequest struct {
+	name    string
+	headers []string
+	// waits is true if the client sends the body after an interim response.
+	waits bool
+}
+
+var firstRequests = []firstRequest{
+	{name: "a plain request"},
+	{name: "Expect", headers: []string{"Expect: 100-continue"}, waits: true},
+	{name: "Upgrade", headers: []string{"Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMAAABkAAQAoAAAAAIAAAAA"}},
+}
+
+// stopAfterExpect stops a machine while clients wait for the answers to two requests that they have sent behind each other. The connections
+// had another request before, some of them one with "Expect: 100-continue" or with the offer of another protocol.
 func stopAfterExpect(d *deployment, trouble bool) ([]string, error) {
 	if err := d.start(nil, route{"/tiquetes/", idempotent, tickets, 1200}, route{"/turnos/", nonIdempotent, tickets, 1200}); err != nil {
 		return nil, err
@@ -168,16 +182,13 @@
 	stopped := d.hosts[0]
 	var clients []*client
 	for i := range 12 {
-		name, expect := fmt.Sprintf("%d, no Expect before,", i), i%2 == 0
-		if expect {
-			name = fmt.Sprintf("%d, Expect before,", i)
-		}
-		c, err := d.dial(name, stopped)
+		first := firstRequests[i%len(firstRequests)]
+		c, err := d.dial(fmt.Sprintf("%d, %s before,", i, first.name), stopped)
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = c.conn.Close() }()
-		if err := c.reserve(expect); err != nil {
+		if err := c.reserve(first); err != nil {
 			return nil, err
 		}
 		clients = append(clients, c)
@@ -191,12 +202,15 @@
 			return nil, err
 		}
 	}
-	time.Sleep(200 * time.Millisecond)
-	read := make([]bool, len(clients))
-	for i, c := range clients {
-		unread := c.unreadAtHost()
-		read[i] = unread == 0
-		d.note("client %s: the process has not read %d bytes of its requests", c.name, unread)
+	sent := time.Now()
+	time.Sleep(50 * time.Millisecond)
+	table, err := readSockets()
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Until(sent.Add(200 * time.Millisecond)))
+	if late := time.Since(sent); late > 400*time.Millisecond {
+		return nil, fmt.Errorf("the signal would come %v after the requests, when they are answered", late)
 	}
 	if trouble {
 		d.note("SIGTERM to %s", stopped.name)
@@ -204,6 +218,12 @@
 			return nil, err
 		}
 	}
+	read := make([]bool, len(clients))
+	for i, c := range clients {
+		unread := table.unreadAtHost(c)
+		read[i] = unread == 0
+		d.note("client %s: before the signal the process had not read %d bytes of its requests", c.name, unread)
+	}
 	var receivers sync.WaitGroup
 	for i, c := range clients {
 		receivers.Go(func() { c.receive(pairs[i]...) })
@@ -220,18 +240,14 @@
 	return broken, nil
 }
 
-// reserve sends a reservation with a body and reads its answer. With expect, the body follows the interim response.
-func (c *client) reserve(expect bool) error {
+// reserve sends a reservation with a body as the first request of the connection and reads its answer.
+func (c *client) reserve(first firstRequest) error {
 	body := strings.Repeat("x", 1200)
-	headers := []string{fmt.Sprintf("Content-Length: %d", len(body))}
-	if expect {
-		headers = append(headers, "Expect: 100-continue")
-	}
-	m, head := c.head("POST", "/turnos/3", 3000, headers...)
+	m, head := c.head("POST", "/turnos/3", 3000, append([]string{fmt.Sprintf("Content-Length: %d", len(body))}, first.headers...)...)
 	if err := c.send(head + "\r\n"); err != nil {
 		return err
 	}
-	if expect {
+	if first.waits {
 		if _, err := c.reader.Peek(1); err != nil {
 			return err
 		}
@@ -282,9 +298,13 @@
 	}
 	receivers.Wait()
 	time.Sleep(100 * time.Millisecond)
+	table, err := readSockets()
+	if err != nil {
+		return nil, err
+	}
 	var broken []string
 	for i, c := range clients {
-		unread := c.unreadAtHost()
+		unread := table.unreadAtHost(c)
 		d.note("client %s: the process has not read %d bytes of its requests", c.name, unread)
 		for _, m := range sent[i] {
 			if after := m.endedAt.Sub(m.sentAt); m.status == 0 && unread == 0 && after > lossSlack {
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -89,22 +89,27 @@
 	}
 }
 
-// unreadAtHost returns the number of bytes of the connection that have arrived at the host and that its process has not read, or -1 if the
-// connection is not found.
-func (c *client) unreadAtHost() int {
+// sockets is the kernel's table of sockets. It is read once for all clients, since it may be long.
+type sockets []string
+
+func readSockets() (sockets, error) {
 	data, err := os.ReadFile("/proc/self/net/tcp")
-	if err != nil {
-		return -1
-	}
-	local, remote := hexAddress(c.conn.RemoteAddr()), hexAddress(c.conn.LocalAddr())
-	for _, line := range strings.Split(string(data), "\n") {
-		fields := strings.Fields(line)
-		if len(fields) < 5 || fields[1] != local || fields[2] != remote {
+	return strings.Split(string(data), "\n"), err
+}
+
+// unreadAtHost returns the number of bytes of a client's connection that have arrived at the host and that its process has not read, or -1
+// if the connection is not found.
+func (s sockets) unreadAtHost(c *client) int {
+	ends := hexAddress(c.conn.RemoteAddr()) + " " + hexAddress(c.conn.LocalAddr())
+	for _, line := range s {
+		if !strings.Contains(line, ends) {
 			continue
 		}
-		_, unread, _ := strings.Cut(fields[4], ":")
-		if n, err := strconv.ParseInt(unread, 16, 64); err == nil {
-			return int(n)
+		if fields := strings.Fields(line); len(fields) > 4 {
+			_, unread, _ := strings.Cut(fields[4], ":")
+			if n, err := strconv.ParseInt(unread, 16, 64); err == nil {
+				return int(n)
+			}
 		}
 	}
 	return -1
