--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10, after the build of the deploy file.
+# Builds the stand-ins of case 6, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -tags review -o target/review-standin2 ./review/standin2
