Report a reset that a write of the request noticed to the reader of the response

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part, with a Content-Length, as the complete response.

Cause: the kernel reports a reset to one call only. net/http reads the response while it writes the request. If the write gets ECONNRESET, the next read returns 0 bytes without an error, which is io.EOF, and for a response without a length io.EOF is the proper end. A length and chunks are not affected, because net/http compares the end with them.

Why this fix works: Conn keeps the error of a write that shows a loss, and a read that gets io.EOF returns it. A server that ends its response in order and resets the connection after that makes writes fail with EPIPE, not ECONNRESET, so its response stays complete.

--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/foxtailtack/foxtailtack/internal/httpconn"
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 )
 
@@ -242,7 +243,7 @@
 		s.limit.release()
 		return nil, err
 	}
-	return &trackedConn{Conn: raw, limit: s.limit, connectDuration: time.Since(startedAt)}, nil
+	return &trackedConn{Conn: httpconn.New(raw), limit: s.limit, connectDuration: time.Since(startedAt)}, nil
 }
 
 // retire closes the idle connections of a server that is no longer used.
--- a/internal/backend/writetracker.go
+++ b/internal/backend/writetracker.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/foxtailtack/foxtailtack/internal/httpconn"
 )
 
 // errAttemptNotRun rejects a write that would start after its attempt was classified as not run.
@@ -117,7 +119,7 @@
 // trackedConn is a connection whose writes are recorded for the attempt that uses it. It hides the optional methods of the wrapped
 // connection, so that every byte goes through Write.
 type trackedConn struct {
-	net.Conn
+	*httpconn.Conn
 	limit       *connLimit
 	releaseOnce sync.Once
 	// closeAfterWrite starts the goroutine that closes the connection after the request was written.
@@ -182,7 +184,7 @@
 // closeNow closes the connection. If the request is incomplete, it is reset.
 func (c *trackedConn) closeNow(incomplete bool) error {
 	c.releaseOnce.Do(c.limit.release)
-	if socket, ok := c.Conn.(*net.TCPConn); ok && incomplete {
+	if socket, ok := c.NetConn().(*net.TCPConn); ok && incomplete {
 		// If the option cannot be set, the connection is broken, and nothing more is sent.
 		_ = socket.SetLinger(0)
 	}
--- a/internal/backend/writetracker_test.go
+++ b/internal/backend/writetracker_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"testing"
+
+	"github.com/foxtailtack/foxtailtack/internal/httpconn"
 )
 
 // stubConn accepts the given number of remaining bytes, then returns an error.
@@ -26,7 +28,7 @@
 
 func newTrackedStub(limit int, hook func() error) (*stubConn, *trackedConn, *writeTracker) {
 	stub := &stubConn{remaining: limit}
-	conn := &trackedConn{Conn: stub, limit: &connLimit{max: 1}}
+	conn := &trackedConn{Conn: httpconn.New(stub), limit: &connLimit{max: 1}}
 	tracker := &writeTracker{beforeWrite: hook}
 	conn.setTracker(tracker)
 	return stub, conn, tracker
