Reject responses with an invalid field name in their head

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank or a control byte. Callers got it as an answer, with a body that was not the server's, or without the field.

Cause: net/http accepts three kinds of such heads. It keeps a name with a blank in it or before the colon, as the name of another field; so "Content-Length : 10" frames nothing, and the body goes on to the end of the connection. It takes a line that begins with a blank or a tab for a part of the value before it. And it takes a line feed at the beginning of a name for the empty line that ends the head, so the rest of the head becomes the body. All other control bytes are errors of its parser.

Why this fix works: the connection checks each byte of a head before net/http reads it, beginning with the first byte after ExpectResponse, and also that of interim responses. It fails the read at the first byte that is not allowed in a name, so nothing of the response is used. A line that continues a value is rejected too: it cannot be told from a name that begins with a blank, and RFC 9112, section 5.2, lets a gateway answer 502 to it. The outcome is unknown, as for other broken responses: only repeatable work may be sent to another server. The connection is reset.

--- a/internal/backend/classify.go
+++ b/internal/backend/classify.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/foxtailtack/foxtailtack/internal/bodies"
+	"github.com/foxtailtack/foxtailtack/internal/httpconn"
 	"github.com/foxtailtack/foxtailtack/internal/result"
 )
 
@@ -41,6 +42,9 @@
 
 // sentFailure returns the failure of an attempt that the backend server may have run.
 func (a *attempt) sentFailure(ctx context.Context, err error) *result.Failure {
+	if a.writes.isHeadInvalid() {
+		return result.Fail(result.IncompleteResponse, "the answer of %s: %v", a.server.ID, httpconn.ErrInvalidHead)
+	}
 	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
 		return result.Fail(result.AttemptTimeout, "no whole answer of %s in time: %v", a.server.ID, err)
 	}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -189,6 +189,7 @@
 	a.mu.Unlock()
 	if ok {
 		conn.setTracker(a.writes)
+		conn.ExpectResponse()
 		if !a.reused {
 			a.setConnectDuration(conn.connectDuration)
 		}
--- a/internal/backend/writetracker.go
+++ b/internal/backend/writetracker.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -36,6 +37,8 @@
 	written int64
 	// answered is true once the server has begun to respond, and so has the request.
 	answered bool
+	// headInvalid is true if the head of the response has an invalid field name.
+	headInvalid bool
 	// wrote is closed when the whole request was written or its writing has failed. It is nil if nobody waits for that.
 	wrote     chan struct{}
 	wroteOnce sync.Once
@@ -110,6 +113,19 @@
 	return w.answered
 }
 
+// setHeadInvalid records that the server sent a head that counts as no response.
+func (w *writeTracker) setHeadInvalid() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered, w.headInvalid = false, true
+}
+
+func (w *writeTracker) isHeadInvalid() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.headInvalid
+}
+
 func (w *writeTracker) bytes() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -141,11 +157,24 @@
 	c.writes = w
 }
 
+func (c *trackedConn) getTracker() *writeTracker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if w := c.getTracker(); w != nil && errors.Is(err, httpconn.ErrInvalidHead) {
+		w.setHeadInvalid()
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *trackedConn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	w := c.writes
-	c.mu.Unlock()
+	w := c.getTracker()
 	if w == nil {
 		return 0, errNoAttempt
 	}
@@ -162,9 +191,7 @@
 // before the server has begun to respond to its attempt, it is reset: after an
 // orderly close the kernel would go on sending bytes of the request that have not arrived, and the server would run a request that was given up.
 func (c *trackedConn) Close() error {
-	c.mu.Lock()
-	w := c.writes
-	c.mu.Unlock()
+	w := c.getTracker()
 	if w == nil || !w.isAnswered() || !w.isWriting() {
 		return c.closeNow(w != nil && !w.isAnswered())
 	}
--- a/internal/gateway/brokenresponse_test.go
+++ b/internal/gateway/brokenresponse_test.go
@@ -127,3 +127,43 @@
 		}
 	}
 }
+
+// Guards against a broken response that reaches the client: the name of a field in its head has a blank or a control byte. Sound responses of
+// the same server must be delivered, also to requests behind it on their connection, and a payment must not be sent again.
+func TestResponseWithInvalidFieldNameDoesNotReachCaller(t *testing.T) {
+	for _, field := range []string{"X Field: v", "X-Field : v", " X-Field: v", "\tX-Field: v", "X\tField: v", "\x01X-Field: v", "X-Field\x7f: v", "\nX-Field: v", "\rX-Field: v", "Content-Encoding : gzip"} {
+		t.Run(fmt.Sprintf("%q", field), func(t *testing.T) {
+			t.Parallel()
+			var arrived atomic.Int64
+			s := newRawServer(t, "i-1", func(conn net.Conn, id string) {
+				if strings.HasPrefix(id, "bad") {
+					arrived.Add(1)
+					_, _ = fmt.Fprintf(conn, "%s%s\r\nContent-Length: 18\r\n\r\nthe server's bytes", responseHead(id), field)
+					return
+				}
+				_, _ = fmt.Fprintf(conn, "%sContent-Length: 4\r\n\r\ngood", responseHead(id))
+			})
+			h := startHost(t, s).configure()
+			for _, path := range []string{"/pay/x", "/look/x"} {
+				arrived.Store(0)
+				conn := h.connect()
+				ids := []string{"good-1", "bad-1", "good-2", "bad-2", "good-3"}
+				for _, id := range ids {
+					conn.send("GET", path, id, 2500*time.Millisecond)
+				}
+				for _, id := range ids {
+					want := http.StatusOK
+					if strings.HasPrefix(id, "bad") {
+						want = http.StatusBadGateway
+					}
+					if got := conn.status(); got != want {
+						t.Errorf("%s: %s gets %d, want %d", path, id, got, want)
+					}
+				}
+				if n := arrived.Load(); path == "/pay/x" && n != 2 {
+					t.Errorf("2 payments reached the server %d times", n)
+				}
+			}
+		})
+	}
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -1,5 +1,5 @@
-// Package httpconn provides the connections on which net/http reads responses. They report the loss of a connection that net/http would take
-// for the end of a response.
+// Package httpconn provides the connections on which net/http reads responses. They report two faults that net/http does not: the loss of a
+// connection, where it would see the end of a response, and invalid names of fields in a head.
 package httpconn
 
 import (
@@ -25,6 +25,11 @@
 	writing sync.Mutex
 	// lost is the error of the first write that failed because the connection was lost, or nil.
 	lost error
+
+	mu   sync.Mutex
+	head headChecker
+	// headErr is the result of the check of the latest head. No byte is read after an invalid one.
+	headErr error
 }
 
 // New returns a connection that uses conn.
@@ -33,15 +38,35 @@
 // NetConn returns the wrapped connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Read implements net.Conn. It returns io.EOF only if the peer closed the connection in order. Errors: also that of a write.
+// ExpectResponse has to be called before a request is written on the connection.
+func (c *Conn) ExpectResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.next()
+}
+
+// Read implements net.Conn. It returns io.EOF only if the peer closed the connection in order. Errors: also that of a write, and
+// ErrInvalidHead.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if headErr := c.checkHead(b[:n]); headErr != nil {
+		return 0, headErr
+	}
 	if err == io.EOF {
 		err = c.endError()
 	}
 	return n, err
 }
 
+func (c *Conn) checkHead(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headErr == nil {
+		c.headErr = c.head.check(data)
+	}
+	return c.headErr
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
