--- a/internal/backend/poller.go
+++ b/internal/backend/poller.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/foxtailtack/foxtailtack/internal/httpconn"
 )
 
 // Periods and bounds of polling.
@@ -43,7 +45,7 @@
 	}
 	return &Poller{
 		registry:    registry,
-		client:      &http.Client{Transport: transport, Timeout: pollTimeout, CheckRedirect: noRedirect},
+		client:      &http.Client{Transport: httpconn.NewTransport(transport), Timeout: pollTimeout, CheckRedirect: noRedirect},
 		concurrency: make(chan struct{}, pollConcurrency),
 	}
 }
--- a/internal/hostlist/http.go
+++ b/internal/hostlist/http.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/foxtailtack/foxtailtack/internal/httpconn"
 )
 
 // maxResponseBytes bounds the size of a response body. A list of 480 entry hosts and their backend servers is far smaller.
@@ -47,7 +49,7 @@
 	return &HTTP{
 		listURL: strings.TrimRight(baseURL, "/") + "/v1/hosts",
 		timeout: timeout,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
+		client:  &http.Client{Transport: httpconn.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute})},
 		now:     time.Now,
 	}
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/foxtailtack/foxtailtack/internal/admin"
+	"github.com/foxtailtack/foxtailtack/internal/httpconn"
 	"github.com/foxtailtack/foxtailtack/internal/result"
 )
 
@@ -134,7 +135,7 @@
 	}
 	// Use a new connection for each request, so that the transport never resends a request by itself.
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+	client := &http.Client{Transport: httpconn.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext})}
 	response, err := client.Do(httpRequest)
 	if err != nil {
 		return nil, err
