Test resets on single-use connections too, and reword comments of the checked connections

The transport for single-use connections is chosen after a first early response, which the test did not bring about.

--- a/internal/backend/resetresponse_test.go
+++ b/internal/backend/resetresponse_test.go
@@ -16,8 +16,7 @@
 	"github.com/foxtailtack/foxtailtack/internal/policy"
 )
 
-// earlyServer responds to a POST request before it has read the body, and then ends the connection. To a GET request it sends a whole
-// response.
+// earlyServer responds to a request before it has read the body, and then ends the connection. To the request "first" it sends a whole response.
 type earlyServer struct {
 	// status is the status of the response; empty for 200.
 	status string
@@ -42,9 +41,11 @@
 		if err != nil {
 			return
 		}
-		fields := fmt.Sprintf("%s: %s\r\n", backend.HeaderRequestID, r.Header.Get(backend.HeaderRequestID))
-		if r.Method == http.MethodGet {
+		id := r.Header.Get(backend.HeaderRequestID)
+		fields := fmt.Sprintf("%s: %s\r\n", backend.HeaderRequestID, id)
+		if id == "first" {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, r.Body)
 			continue
 		}
 		head := "HTTP/1.1 " + cmp.Or(s.status, "200") + " OK\r\n" + fields
@@ -72,8 +73,9 @@
 	"repeatable": {Repeatable: true}, "not repeatable": {}, "new connection": {NewConnection: true}, "single use": {SingleUse: true},
 }
 
-// upload makes an attempt with a body on a new client, after a GET request if reused is true.
-func upload(t *testing.T, s earlyServer, req backend.Request, size int, reused bool) backend.Result {
+// upload makes an attempt with a body on a new client. If second is true, it makes another one before, after which a connection can be reused.
+// For the transport of single-use connections, the server has to respond early to that one.
+func upload(t *testing.T, s earlyServer, req backend.Request, size int, second bool) backend.Result {
 	t.Helper()
 	protocol := backend.OwnProtocol()
 	protocol.EchoRequired, protocol.AllowUnframed, protocol.MaxReuseIdle = true, true, time.Minute
@@ -83,10 +85,18 @@
 	target := &policy.BackendServer{ID: "b", Service: "s", Address: listenAndServe(t, s.serve), Slots: 4, MaxConnections: 16}
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	if reused {
-		client.Do(ctx, service, target, &backend.Request{ID: "first", Method: http.MethodGet, Path: "/", Repeatable: req.Repeatable})
+	req.Method, req.Path = http.MethodPost, "/"
+	if second {
+		first := req
+		first.ID = "first"
+		if req.SingleUse {
+			first.Body = make([]byte, size)
+		}
+		if res := client.Do(ctx, service, target, &first); res.Outcome != backend.Completed {
+			t.Fatalf("the first request: %v", res.Failure)
+		}
 	}
-	req.ID, req.Method, req.Path, req.Body = "request-1", http.MethodPost, "/", make([]byte, size)
+	req.ID, req.Body = "request-1", make([]byte, size)
 	return client.Do(ctx, service, target, &req)
 }
 
@@ -96,8 +106,8 @@
 func TestResponseWithoutLengthIsIncompleteIfResetDuringUpload(t *testing.T) {
 	const tries = 10
 	for kind, req := range uploadKinds {
-		for _, reused := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s/reused=%v", kind, reused), func(t *testing.T) {
+		for _, second := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/second=%v", kind, second), func(t *testing.T) {
 				t.Parallel()
 				complete, total := 0, 0
 				for _, body := range []string{"", "x", strings.Repeat("x", 60<<10)} {
@@ -106,7 +116,7 @@
 							for range tries {
 								total++
 								s := earlyServer{body: body, readBytes: readBytes, delay: delay, end: resetConn}
-								if res := upload(t, s, req, 8<<20, reused); res.Outcome != backend.Unknown {
+								if res := upload(t, s, req, 8<<20, second); res.Outcome != backend.Unknown {
 									complete++
 									t.Logf("%d bytes sent, %d read, reset after %v: %v with %d bytes", len(body), readBytes, delay, res.Outcome, len(res.Body))
 								}
@@ -134,14 +144,14 @@
 	} {
 		s.end = finishRequest
 		for kind, req := range uploadKinds {
-			for _, reused := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%s/%s/reused=%v", name, kind, reused), func(t *testing.T) {
+			for _, second := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/second=%v", name, kind, second), func(t *testing.T) {
 					t.Parallel()
 					want := body
 					if s.body == "" {
 						want = ""
 					}
-					if res := upload(t, s, req, 8<<20, reused); res.Outcome != backend.Completed || string(res.Body) != want {
+					if res := upload(t, s, req, 8<<20, second); res.Outcome != backend.Completed || string(res.Body) != want {
 						t.Errorf("got %v %q, %v", res.Outcome, res.Body, res.Failure)
 					}
 				})
--- a/internal/backend/writetracker.go
+++ b/internal/backend/writetracker.go
@@ -163,7 +163,7 @@
 	return c.writes
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. After an invalid head the attempt has no response, so that Close resets the connection.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if w := c.getTracker(); w != nil && errors.Is(err, httpconn.ErrInvalidHead) {
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -38,7 +38,7 @@
 // NetConn returns the wrapped connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// ExpectResponse has to be called before a request is written on the connection.
+// ExpectResponse has to be called before a request is written on a connection that was used before, so that the head of its response is checked.
 func (c *Conn) ExpectResponse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -84,7 +84,7 @@
 	if endedInOrder(c.Conn) {
 		return io.EOF
 	}
-	// The connection has no state in which a write could block, so the one that runs may have got the error and is about to return.
+	// The connection was reset or closed, so a write that is running does not block. It may have got the error and not have returned yet.
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.lost != nil {
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -33,7 +33,7 @@
 	statusLine []byte
 	// endsWithCR is true if the latest byte was a carriage return.
 	endsWithCR bool
-	// usesCRLF is true if the status line ended with CRLF. All lines do then, and a line feed alone does not end the head.
+	// usesCRLF is true if the status line ended with CRLF. Then a line feed alone does not end the head.
 	usesCRLF bool
 }
 
