Ask other hosts for the removals of servers that a host has missed

What callers saw: orders got 502 although nothing was down.

Cause: a host ignores a late heartbeat of a removed server because it remembers the server's latest one. It remembered only the removals that it had seen itself, in memory. A host that was started after the removal took the same heartbeat for that of a new server.

Evidence: TestRestartedHostDoesNotUseServerThatLeft on the code before: the old host logs server_gone for the server, the new one server_added for its late heartbeat, and sent it 12 of 30 requests. Ruled out: a missed removal at the old hosts, and a stale listing at the new one, which lacks the server. Of the other tests, TestStartingHostTakesTheLatestStateWhileStoreIsAway failed before ("got revision 5, want 9"); those of package catalog use functions that did not exist.

Change: a host knows the period in which it may have missed removals: before its start, and between its latest confirmed state and a further complete listing. While there is one, it asks other hosts, which respond with the removals, the entries that a late heartbeat has replaced in the store, and the period that they have missed themselves. So a host that is new too, or behind, does not complete the search. If no host knows, a server that appears and may have left gets no requests for four heartbeats, after which the platform has removed the entry of a silent server, unless its service has no other server. A host that starts while the store is away takes the latest state of three hosts in place of the first.

Why it works: what the hosts remembered decides at the new host too, and where nobody remembers, an entry has to outlast the platform's own removal of servers that do not report. State and responses are bounded to 512 KB of removals.

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -110,11 +110,13 @@
 		f.recordFailure(ctx, "list", err)
 		return sleepBackoff(callCtx, backoff)
 	}
+	confirmedAt, _ := f.ConfirmedAt()
 	f.recordResponse(batch.Age)
 	f.update(func(now time.Time) ([]Event, []Change) {
 		if batch.Since > 0 {
 			return f.state.Apply(batch.Changes, batch.Revision, now), batch.Changes
 		}
+		f.state.beginListing(confirmedAt, batch.Revision, now)
 		return f.state.Resync(batch.Changes, batch.Revision, now)
 	})
 	f.watch(callCtx, batch.Revision)
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -25,6 +25,11 @@
 	// lapseEnd is set while the entry is lapsed: missing from the store after an outage or a restoration. It is the time at which the
 	// entry is removed.
 	lapseEnd time.Time
+	// heldUntil is set while the server may have left before this host began to follow the store. It gets no requests until then if its
+	// service has other servers.
+	heldUntil time.Time
+	// supersedes is true if the store has an older entry of the server.
+	supersedes bool
 }
 
 // Lapsed reports whether the entry is missing from the store after an outage or a restoration and kept only for a grace period.
@@ -62,6 +67,13 @@
 	// servers holds the entries by id. Views share them, so they are replaced and never modified.
 	servers  map[string]*ServerEntry
 	departed departedServers
+	// missed is the period in which removals of servers may have been missed; listedAt is the revision of the latest complete listing.
+	missed   period
+	listedAt Revision
+	// firstListedAt is the time of the first complete listing.
+	firstListedAt time.Time
+	// returnHold is the time for which a server is held that may have left.
+	returnHold time.Duration
 	// evacuated holds the evacuated failure domains. The value is the time at which an evacuation that is missing from the restored
 	// store ends, zero if it is not missing.
 	evacuated        map[string]time.Time
@@ -81,7 +93,7 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{servers: map[string]*ServerEntry{}, evacuated: map[string]time.Time{}, hosts: map[string]*hostRecord{}, hostGrace: defaultHostGrace}
+	return &State{servers: map[string]*ServerEntry{}, evacuated: map[string]time.Time{}, hosts: map[string]*hostRecord{}, hostGrace: defaultHostGrace, returnHold: defaultReturnHold}
 }
 
 // StoreRecovered records that the store is available again after an outage. Entries that are removed shortly afterwards may
@@ -217,6 +229,7 @@
 			s.addEvent("server_gone", id, "the entry lapsed and was not written again", e.Revision)
 		}
 	}
+	s.releaseServers(func(e *ServerEntry) bool { return !now.Before(e.heldUntil) })
 	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
 		if e := s.hosts[id]; !e.lapseEnd.IsZero() && !now.Before(e.lapseEnd) {
 			delete(s.hosts, id)
@@ -248,6 +261,9 @@
 		v.Servers[id] = entry
 		v.ByService[entry.Service] = append(v.ByService[entry.Service], entry)
 	}
+	for service, servers := range v.ByService {
+		v.ByService[service] = usable(servers)
+	}
 	for domain := range s.evacuated {
 		v.Evacuated[domain] = true
 	}
@@ -351,13 +367,14 @@
 // putServer stores an entry unless it is older than the known one of the same id, or not later than the last one before the server was
 // removed. Entries of earlier incarnations and delayed heartbeats would make a draining or stopped server available again.
 func (s *State) putServer(server *Server, revision Revision, now time.Time) {
-	if removed, ok := s.departed.latest(server.ID); ok && (server.Incarnation < removed.incarnation || server.Incarnation == removed.incarnation && server.Sequence <= removed.sequence) {
+	if removed, ok := s.departed.latest(server.ID); ok && !server.heartbeat().isAfter(removed.heartbeat) {
 		s.addEvent("entry_ignored", server.ID, fmt.Sprintf("sequence %d of incarnation %d is not later than %d of %d, after which the server was removed", server.Sequence, server.Incarnation, removed.sequence, removed.incarnation), revision)
 		return
 	}
 	known := s.servers[server.ID]
-	if known != nil && (server.Incarnation < known.Incarnation || server.Incarnation == known.Incarnation && server.Sequence < known.Sequence) {
+	if known != nil && known.heartbeat().isAfter(server.heartbeat()) {
 		s.addEvent("entry_ignored", server.ID, fmt.Sprintf("sequence %d of incarnation %d is older than %d of %d", server.Sequence, server.Incarnation, known.Sequence, known.Incarnation), revision)
+		s.markSuperseding(server.ID)
 		return
 	}
 	entry := &ServerEntry{Server: *server, Revision: revision}
@@ -367,8 +384,16 @@
 	case server.ColdFor > 0:
 		entry.ColdUntil = now.Add(server.ColdFor)
 	}
+	switch {
+	case known != nil && known.Incarnation == server.Incarnation:
+		entry.heldUntil = known.heldUntil
+	case known == nil && s.mayHaveLeft(server, now):
+		entry.heldUntil = now.Add(s.returnHold)
+	}
 	s.servers[server.ID] = entry
 	switch {
+	case known == nil && !entry.heldUntil.IsZero():
+		s.addEvent("server_held", server.ID, describeServer(server), revision)
 	case known == nil || known.Incarnation != server.Incarnation:
 		s.addEvent("server_added", server.ID, describeServer(server), revision)
 	case known.Draining != server.Draining:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,6 +143,7 @@
 	// A live host notices within the TTL of its lease that the lease is gone. Look-ups then list a host that died before a restoration of
 	// the store no longer than one whose lease expires.
 	g.follower.SetHostGrace(leaseTTL(s.Bounds.DeadHostListingLimit(), false))
+	g.follower.SetHeartbeat(s.Bounds.ServerHeartbeat())
 	g.follower.Subscribe(g.applyView)
 	return g, g.bind(o.Paths)
 }
@@ -308,6 +309,7 @@
 	defer stopBackground()
 	go guard.Loop(backgroundCtx, g.log, "follower", g.follower.Run)
 	go guard.Loop(backgroundCtx, g.log, "expiry", g.follower.RunExpiry)
+	go guard.Loop(backgroundCtx, g.log, "departures", func(ctx context.Context) { g.source.RunDepartures(ctx, g.follower) })
 	go guard.Loop(backgroundCtx, g.log, "distances", g.measureRoundTrips)
 	go guard.Loop(backgroundCtx, g.log, "pauses", g.pauses.Run)
 	go guard.Loop(backgroundCtx, g.log, "load reports", g.publishLoad)
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -141,7 +141,7 @@
 		HostID: "h1", FailureDomain: "d", Region: "r", FailureDomains: map[string]string{"d": "r"},
 		CallerAddress: local, ReadyAddress: local, LookupAddress: local, PeerAddress: local, AdminAddress: local,
 		StoreAddress: netip.MustParseAddrPort(strings.TrimPrefix(store.URL, "http://")),
-		Bounds:       settings.GatewayBounds{StopGraceMs: 3000, LookupTTLMs: 5000, StableWindowMs: 3000, ConfigurationMs: 2500, DrainMs: 2500, EvacuationMs: 5000, RetryRatio: 0.2, RetrySlack: 100},
+		Bounds:       settings.GatewayBounds{StopGraceMs: 3000, LookupTTLMs: 5000, StableWindowMs: 3000, ConfigurationMs: 2500, DrainMs: 2500, EvacuationMs: 5000, ServerHeartbeatMs: 1500, RetryRatio: 0.2, RetrySlack: 100},
 	}
 	for _, apply := range change {
 		apply(s)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -86,8 +86,9 @@
 
 // upstream is the state of another host. Its configuration is the one in its batch.
 type upstream struct {
-	batch catalog.Batch
-	err   error
+	batch      catalog.Batch
+	departures catalog.Departures
+	err        error
 }
 
 func (u *upstream) View() *catalog.View {
@@ -101,6 +102,9 @@
 }
 
 func (u *upstream) Everything() catalog.Batch { return u.batch }
+func (u *upstream) Departures(catalog.Period) catalog.Departures {
+	return u.departures
+}
 func (u *upstream) After(context.Context, catalog.Revision, catalog.Version, time.Duration) (catalog.Batch, error) {
 	return u.batch, u.err
 }
@@ -242,6 +246,8 @@
 
 func (u *failingUpstream) View() *catalog.View { return &catalog.View{} }
 
+func (u *failingUpstream) Departures(catalog.Period) catalog.Departures { return catalog.Departures{} }
+
 func (u *failingUpstream) Everything() catalog.Batch {
 	if !u.called {
 		u.called = true
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -40,6 +40,7 @@
 	View() *catalog.View
 	Everything() catalog.Batch
 	After(ctx context.Context, revision catalog.Revision, version catalog.Version, wait time.Duration) (catalog.Batch, error)
+	Departures(missed catalog.Period) catalog.Departures
 }
 
 // service implements the net/rpc methods.
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -271,19 +271,29 @@
 // IsReader reports whether this host is selected to read the store.
 func (s *Source) IsReader() bool { return isReader(s.view(), s.self) }
 
-// fallback calls hosts in random order, beginning with the host that responded last. A stale response is accepted only if this host
-// has no configuration.
+// fallback calls hosts in random order, beginning with the host that responded last. Stale responses are accepted only if this host has no
+// configuration. The one with the highest revision is returned then: a host that was cut off before the others knows less.
 func (s *Source) fallback(ctx context.Context, args WatchArgs, timeout time.Duration) (catalog.Batch, error) {
 	view := s.view()
+	var latest catalog.Batch
+	var latestHost string
 	for _, target := range s.fallbackTargets(view) {
 		batch, err := s.ask(ctx, target.id, target.address, args, timeout)
 		if errors.Is(err, catalog.ErrCompacted) {
 			return catalog.Batch{}, err
 		}
-		if err == nil && (batch.Age <= maxCurrentAge || view.Configuration == nil && len(batch.Changes) > 0) {
+		switch {
+		case err != nil:
+		case batch.Age <= maxCurrentAge:
 			return batch, nil
+		case view.Configuration == nil && len(batch.Changes) > 0 && batch.Revision >= latest.Revision:
+			latest, latestHost = batch, target.id
 		}
 	}
+	if latestHost != "" {
+		s.setFollowing(latestHost)
+		return latest, nil
+	}
 	return catalog.Batch{}, Error.New("neither the store nor another host returned a current state")
 }
 
@@ -292,7 +302,8 @@
 	address netip.AddrPort
 }
 
-func (s *Source) fallbackTargets(view *catalog.View) []target {
+// targets returns the other known hosts that have not failed recently, or the seeds if there are none.
+func (s *Source) targets(view *catalog.View) []target {
 	var list []target
 	for id, h := range view.Hosts {
 		if id != s.self.ID && !s.recentlyFailed(id) {
@@ -306,6 +317,11 @@
 			}
 		}
 	}
+	return list
+}
+
+func (s *Source) fallbackTargets(view *catalog.View) []target {
+	list := s.targets(view)
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	// Hosts of the own failure domain come last: they may follow this host, and then have no later state.
 	slices.SortStableFunc(list, func(a, b target) int { return cmp.Compare(s.inOwnDomain(view, a), s.inOwnDomain(view, b)) })
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -63,6 +63,8 @@
 	ConfigurationMs int `toml:"configuration_ms" validate:"min=1,max=600000"`
 	DrainMs         int `toml:"drain_ms" validate:"min=1,max=600000"`
 	EvacuationMs    int `toml:"evacuation_ms" validate:"min=1,max=600000"`
+	// ServerHeartbeatMs is the interval between two heartbeats of a backend server in milliseconds. Default 1500.
+	ServerHeartbeatMs int `toml:"server_heartbeat_ms" validate:"min=1,max=600000"`
 	// RetryRatio is the maximum ratio of retries to requests of a service, over all hosts. Default 0.2.
 	RetryRatio float64 `toml:"retry_ratio" validate:"min=0,max=10"`
 	// RetrySlack is the number of retries that are allowed in addition to RetryRatio, over all hosts. Default 0.
@@ -74,6 +76,11 @@
 	return time.Duration(b.StopGraceMs) * time.Millisecond
 }
 
+// ServerHeartbeat returns the interval between two heartbeats of a backend server.
+func (b GatewayBounds) ServerHeartbeat() time.Duration {
+	return time.Duration(b.ServerHeartbeatMs) * time.Millisecond
+}
+
 // LookupTTL returns the maximum time to live of a look-up response.
 func (b GatewayBounds) LookupTTL() time.Duration {
 	return time.Duration(b.LookupTTLMs) * time.Millisecond
@@ -99,6 +106,7 @@
 	defaultLookupTTLMs    = 5000
 	defaultStableWindowMs = 3000
 	defaultChangeBoundMs  = 2000
+	defaultHeartbeatMs    = 1500
 	defaultRetryRatio     = 0.2
 )
 
@@ -151,7 +159,7 @@
 	g := &Gateway{
 		Bounds: GatewayBounds{
 			StopGraceMs: defaultStopGraceMs, LookupTTLMs: defaultLookupTTLMs, StableWindowMs: defaultStableWindowMs, RetryRatio: defaultRetryRatio,
-			ConfigurationMs: defaultChangeBoundMs, DrainMs: defaultChangeBoundMs, EvacuationMs: defaultChangeBoundMs,
+			ConfigurationMs: defaultChangeBoundMs, DrainMs: defaultChangeBoundMs, EvacuationMs: defaultChangeBoundMs, ServerHeartbeatMs: defaultHeartbeatMs,
 		},
 		Log: Log{Level: defaultLogLevel, TraceSample: defaultTraceSample},
 	}
