Do not direct callers to regions that their requests must not reach

Cause: a look-up response was filled up to at least two hosts. If the client's region and the home regions had fewer, all other hosts were added, and a client picks one at random. The minimum is for a client whose first host fails; it ignored where the requests may go.

Evidence, on the code before: for one host in the region of client and home, nearestHosts returned all four hosts of the test; without that host and with one at home, all three. TestRestartOfOnlyHostInHomeRegionKeepsCallersThere failed before its restart.

Change: a host of another region is added only if all routes of the host name, and all customers where a route needs a key, allow its region. Regions that some exclude are used only if no other host is left, the least excluded ones first. The host that is asked names itself if it serves without being listed. A host whose region has fewer than two others announces a planned stop in its entry, so that hosts of other regions do not take it for one that has failed; it stays the one that is returned until it is listed again.

Why it works: a response has a host of a region that excludes requests only if there is no other host, so no restart or small region causes it. A caller still gets a host while there is one (TestLookupExcludesRegionsOnlyWhileOtherHostsExist).

Changed test: the last check of TestLookupPrefersHomeRegions asked for another host beside a single one in the home region, which is the fault. It asks for exactly the one at home now, which is as strict.

--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -47,7 +47,9 @@
 	// Evacuated holds the failure domains that must not receive requests.
 	Evacuated map[string]bool
 	Hosts     map[string]*Host
-	Revision  Revision
+	// Stopping holds hosts that have announced a planned stop and may still serve or be restarted soon. They are not in Hosts.
+	Stopping map[string]*Host
+	Revision Revision
 }
 
 // Event is a change of the known state, for the log of this host.
@@ -76,8 +78,11 @@
 	returnHold time.Duration
 	// evacuated holds the evacuated failure domains. The value is the time at which an evacuation that is missing from the restored
 	// store ends, zero if it is not missing.
-	evacuated        map[string]time.Time
-	hosts            map[string]*hostRecord
+	evacuated map[string]time.Time
+	hosts     map[string]*hostRecord
+	// stopping holds the hosts that have announced a planned stop.
+	stopping         map[string]stoppingHost
+	stopGrace        time.Duration
 	revision         Revision
 	storeRecoveredAt time.Time
 	// storeRestoredAt is the time at which a later era of the store was seen, zero before the first.
@@ -93,7 +98,10 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{servers: map[string]*ServerEntry{}, evacuated: map[string]time.Time{}, hosts: map[string]*hostRecord{}, hostGrace: defaultHostGrace, returnHold: defaultReturnHold}
+	return &State{
+		servers: map[string]*ServerEntry{}, evacuated: map[string]time.Time{}, hosts: map[string]*hostRecord{}, stopping: map[string]stoppingHost{},
+		hostGrace: defaultHostGrace, stopGrace: defaultStopGrace, returnHold: defaultReturnHold,
+	}
 }
 
 // StoreRecovered records that the store is available again after an outage. Entries that are removed shortly afterwards may
@@ -236,6 +244,7 @@
 			s.addEvent("host_gone", id, "the entry lapsed and was not written again", 0)
 		}
 	}
+	s.expireStoppingHosts(now)
 	for _, domain := range slices.Sorted(maps.Keys(s.evacuated)) {
 		if end := s.evacuated[domain]; !end.IsZero() && !now.Before(end) {
 			s.evacuated[domain] = time.Time{}
@@ -254,6 +263,7 @@
 		ByService:     map[string][]*ServerEntry{},
 		Evacuated:     make(map[string]bool, len(s.evacuated)),
 		Hosts:         make(map[string]*Host, len(s.hosts)),
+		Stopping:      make(map[string]*Host, len(s.stopping)),
 		Revision:      s.revision,
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
@@ -270,6 +280,9 @@
 	for id, e := range s.hosts {
 		v.Hosts[id] = e.host
 	}
+	for id, e := range s.stopping {
+		v.Stopping[id] = e.host
+	}
 	return v
 }
 
@@ -330,7 +343,7 @@
 	case c.Restored != "":
 		s.restore(c.Restored, c.Revision, now)
 	case c.Host != nil:
-		s.putHost(c.Host, c.Revision)
+		s.putHost(c.Host, c.Revision, now)
 	case c.HostGone != "":
 		s.removeHost(c.HostGone, c.Revision, now)
 	}
@@ -489,27 +502,3 @@
 	}
 	return b
 }
-
-func (s *State) putHost(h *Host, revision Revision) {
-	known := s.hosts[h.ID]
-	if known != nil && h.Incarnation < known.host.Incarnation {
-		return
-	}
-	s.hosts[h.ID] = &hostRecord{host: h}
-	if known == nil || known.host.Incarnation != h.Incarnation {
-		s.addEvent("host_added", h.ID, fmt.Sprintf("failure domain %s, address %s, incarnation %d", h.FailureDomain, h.CallerAddress, h.Incarnation), revision)
-	}
-}
-
-func (s *State) removeHost(id string, revision Revision, now time.Time) {
-	known := s.hosts[id]
-	if known == nil || !known.lapseEnd.IsZero() {
-		return
-	}
-	if end := s.lapseEnd(s.hostGrace); now.Before(end) {
-		known.lapseEnd = end
-		return
-	}
-	delete(s.hosts, id)
-	s.addEvent("host_gone", id, "", revision)
-}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -232,6 +232,8 @@
 	Region        string         `json:"region"`
 	CallerAddress netip.AddrPort `json:"caller_address"`
 	PeerAddress   netip.AddrPort `json:"peer_address"`
+	// Stopping is true from the beginning of a planned stop.
+	Stopping bool `json:"stopping,omitempty"`
 }
 
 // Change is the new state of one store entry. Exactly one of the fields after Revision is set; InvalidServer may be set in
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	registration *registration
 	metrics      *gatewayMetrics
 	usage        *usageCaps
+	homes        homeIndexes
 	droppedLines func() uint64
 
 	rootMetrics *telemetry.Metrics
@@ -139,10 +140,11 @@
 	g.rootMetrics = telemetry.NewMetrics(map[string]string{"host": s.HostID, "failure_domain": s.FailureDomain})
 	g.metrics = newGatewayMetrics(g.rootMetrics.Scope)
 	g.usage = newUsageCaps(g.self, g.follower.View, relay.NewUsageClient(nil), g.rootMetrics.Scope, g.log)
-	g.registration = &registration{registrar: o.Registrar, configured: g.follower.Configured(), host: g.self, isListed: g.isListed, storeFailed: g.storeFailed, storeResponded: g.storeResponded, knownEra: func() catalog.Era { return g.follower.View().Revision.Era() }, readsStore: g.source.ReadsStore, isReader: g.source.IsReader, maxDeadHostTime: s.Bounds.DeadHostListingLimit(), log: o.Log}
+	g.registration = &registration{registrar: o.Registrar, configured: g.follower.Configured(), host: g.self, isListed: g.isListed, isNeededInRegion: g.isNeededInRegion, storeFailed: g.storeFailed, storeResponded: g.storeResponded, knownEra: func() catalog.Era { return g.follower.View().Revision.Era() }, readsStore: g.source.ReadsStore, isReader: g.source.IsReader, maxDeadHostTime: s.Bounds.DeadHostListingLimit(), log: o.Log}
 	// A live host notices within the TTL of its lease that the lease is gone. Look-ups then list a host that died before a restoration of
 	// the store no longer than one whose lease expires.
 	g.follower.SetHostGrace(leaseTTL(s.Bounds.DeadHostListingLimit(), false))
+	g.follower.SetStopGrace(s.Bounds.StopGrace())
 	g.follower.SetHeartbeat(s.Bounds.ServerHeartbeat())
 	g.follower.Subscribe(g.applyView)
 	return g, g.bind(o.Paths)
@@ -195,6 +197,17 @@
 	return h != nil && h.Incarnation == g.self.Incarnation
 }
 
+// isNeededInRegion reports whether the region has too few other hosts for a look-up response. If it has one, that may stop too.
+func (g *Gateway) isNeededInRegion() bool {
+	others := 0
+	for id, h := range g.follower.View().Hosts {
+		if id != g.self.ID && h.Region == g.self.Region {
+			others++
+		}
+	}
+	return others < minLookupHosts
+}
+
 // storeFailed and storeResponded report the result of a registration call to the follower if this host reads the store directly.
 // storeResponded reports it to the source as well.
 func (g *Gateway) storeFailed(ctx context.Context, call string, err error) {
--- a/internal/gateway/lookup.go
+++ b/internal/gateway/lookup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -20,29 +21,47 @@
 	maxLookupHosts = 64
 )
 
+// Distances of hosts from a client. A host of another region has at least otherRegion; each home restriction that excludes the region
+// adds one.
+const (
+	sameDomain = iota
+	sameRegion
+	otherRegion
+)
+
 // nearestHosts returns the addresses of the hosts that a client should use: those in its failure domain. If these are too few, it
-// adds those in its region, then those in the home regions, and then all others. A client picks one at random, so farther hosts are
-// included only if needed.
-func nearestHosts(hosts map[string]*catalog.Host, query LookupQuery, homes ...string) []netip.AddrPort {
-	var sameDomain, sameRegion, home, others []*catalog.Host
-	for _, h := range hosts {
+// adds those in its region, and then those of other regions in which all requests for the host name may be handled. A client picks one at
+// random, so farther hosts are included only if needed.
+//
+// Hosts of the remaining regions are returned only if there is no other host. Before them, the first of the reserves is used that has a
+// host that is near enough: hosts that are not listed but may still or soon serve.
+func nearestHosts(hosts map[string]*catalog.Host, reserves [][]*catalog.Host, query LookupQuery, homes homeLimits) []netip.AddrPort {
+	distance := func(h *catalog.Host) int {
 		switch {
 		case h.FailureDomain == query.FailureDomain:
-			sameDomain = append(sameDomain, h)
+			return sameDomain
 		case h.Region == query.Region:
-			sameRegion = append(sameRegion, h)
-		case slices.Contains(homes, h.Region):
-			home = append(home, h)
+			return sameRegion
 		default:
-			others = append(others, h)
+			return otherRegion + homes.excluding(h.Region)
 		}
 	}
-	chosen := sameDomain
-	for _, more := range [][]*catalog.Host{sameRegion, home, others} {
-		if len(chosen) < minLookupHosts {
-			chosen = append(chosen, more...)
+	byDistance := map[int][]*catalog.Host{}
+	for _, h := range hosts {
+		byDistance[distance(h)] = append(byDistance[distance(h)], h)
+	}
+	var chosen []*catalog.Host
+	for near := sameDomain; near <= otherRegion && len(chosen) < minLookupHosts; near++ {
+		chosen = append(chosen, byDistance[near]...)
+	}
+	for _, reserve := range reserves {
+		if len(chosen) == 0 {
+			chosen = slices.DeleteFunc(slices.Clone(reserve), func(h *catalog.Host) bool { return distance(h) > otherRegion })
 		}
 	}
+	if len(chosen) == 0 && len(byDistance) > 0 {
+		chosen = byDistance[slices.Min(slices.Collect(maps.Keys(byDistance)))]
+	}
 	slices.SortFunc(chosen, func(a, b *catalog.Host) int { return a.CallerAddress.Compare(b.CallerAddress) })
 	addresses := make([]netip.AddrPort, 0, min(len(chosen), maxLookupHosts))
 	for _, h := range chosen[:min(len(chosen), maxLookupHosts)] {
@@ -51,27 +70,33 @@
 	return addresses
 }
 
-// homeRegions returns the home regions of the routes of a host name.
-func homeRegions(c *catalog.Configuration, name string) []string {
-	if c == nil {
-		return nil
-	}
-	var homes []string
-	for _, route := range c.Routes[name] {
-		homes = append(homes, route.Homes...)
+// lookupHosts returns the hosts that look-up responses may include, and the reserves of nearestHosts: this host, if it serves without being
+// listed, and hosts that are stopping or being restarted.
+func (g *Gateway) lookupHosts(view *catalog.View) (map[string]*catalog.Host, [][]*catalog.Host) {
+	stopping := slices.Collect(maps.Values(view.Stopping))
+	switch {
+	case view.Hosts[g.self.ID] != nil:
+		return view.Hosts, [][]*catalog.Host{stopping}
+	case g.stopping.Load():
+		if view.Stopping[g.self.ID] == nil {
+			stopping = append(stopping, g.self)
+		}
+		return view.Hosts, [][]*catalog.Host{stopping}
+	case len(view.Hosts) == 0:
+		return map[string]*catalog.Host{g.self.ID: g.self}, nil
+	case view.Configuration == nil:
+		return view.Hosts, [][]*catalog.Host{stopping}
+	default:
+		return view.Hosts, [][]*catalog.Host{{g.self}, stopping}
 	}
-	return homes
 }
 
 // serveLookup handles a client's look-up of host addresses.
 func (g *Gateway) serveLookup(w http.ResponseWriter, r *http.Request) {
 	query := g.dialect.Lookup(r)
 	view := g.follower.View()
-	hosts := view.Hosts
-	if len(hosts) == 0 && !g.stopping.Load() {
-		hosts = map[string]*catalog.Host{g.self.ID: g.self}
-	}
-	addresses := nearestHosts(hosts, query, homeRegions(view.Configuration, hostName(query.HostName))...)
+	hosts, reserves := g.lookupHosts(view)
+	addresses := nearestHosts(hosts, reserves, query, g.homes.of(view.Configuration).limits(hostName(query.HostName)))
 	if len(addresses) == 0 {
 		g.log.Warn().Str("failure_domain", query.FailureDomain).Uint64("revision", uint64(view.Revision)).Msg("lookup_without_hosts")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -59,6 +59,8 @@
 	host      *catalog.Host
 	// isListed reports whether the known state has this host's entry in the store.
 	isListed func() bool
+	// isNeededInRegion reports whether the region may have no host while this one stops.
+	isNeededInRegion func() bool
 	// storeFailed and storeResponded are called after calls to the store, and thus show whether the store is available. era is the
 	// one in which the store responded.
 	storeFailed    func(ctx context.Context, call string, err error)
@@ -155,11 +157,20 @@
 	return err
 }
 
-// unregister ends the lease, which removes the entry, so that other hosts no longer include this host in look-up responses.
+// unregister ends the lease, which removes the entry, so that other hosts no longer include this host in look-up responses. If its
+// region may be left without hosts, it announces the stop before: the other hosts then do not take it for one that has failed, and do not
+// direct callers that depend on it to other regions.
 func (r *registration) unregister() {
 	if r.lease == (Lease{}) || r.isLeaseOfEarlierEra() {
 		return
 	}
+	if r.isNeededInRegion() {
+		stopping := *r.host
+		stopping.Stopping = true
+		if err := r.registrar.PutHost(context.Background(), &stopping, r.lease); err != nil {
+			r.log.Warn().Uint64("lease", r.lease.ID).Err(err).Msg("stop_not_announced")
+		}
+	}
 	err := r.registrar.End(context.Background(), r.lease)
 	r.log.Info().Uint64("lease", r.lease.ID).AnErr("error", err).Msg("unregistered")
 }
