Reject responses with a transfer coding before HTTP/1.1

Cause: one byte of the version was wrong, "HTTP/1.0". net/http ignores Transfer-Encoding before HTTP/1.1, removes the field and reads the body up to the close of the connection, which is a valid end of a response on the platform.

Ruled out: a response that was cut.

Change: the check of heads rejects the field in a version before HTTP/1.1 (RFC 9112, section 6.1: faulty framing).

Why it works: the check sees the bytes before net/http does, on every connection of a client. Responses of such a version with a length, or that end with their connection, are still delivered.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -1,5 +1,5 @@
 // Package httpconn provides the connections on which net/http reads responses. They report two faults that net/http does not: the loss of a
-// connection, where it would see the end of a response, and invalid names of fields in a head.
+// connection, where it would see the end of a response, and heads that it does not read as the server meant them.
 package httpconn
 
 import (
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -5,8 +5,12 @@
 	"strings"
 )
 
-// ErrInvalidHead is returned by a read of a response whose head has an invalid field name.
-var ErrInvalidHead = Error.New("the head of the response has an invalid field name")
+// ErrInvalidHead is returned by a read of a response whose head has an invalid field name, or a transfer coding in a version of HTTP that has
+// none.
+var ErrInvalidHead = Error.New("the head of the response has an invalid field name, or a transfer coding before HTTP/1.1")
+
+// fieldTransferEncoding is the name of the field that states a transfer coding. Names are compared without regard to case.
+const fieldTransferEncoding = "Transfer-Encoding"
 
 // maxStatusBytes is the length of the part of a status line in which the status is looked for.
 const maxStatusBytes = 32
@@ -26,11 +30,15 @@
 
 // headChecker checks the field names in the head of a response, and of the interim responses before it, as their bytes arrive. net/http
 // accepts names with a blank, and two kinds of lines that another name can be taken for: a line that begins with a blank continues the value
-// before it, and a line feed alone ends the head.
+// before it, and a line feed alone ends the head. It ignores the transfer coding of a response before HTTP/1.1 and takes the chunk lines for a
+// part of the body; the framing of such a message is faulty (RFC 9112, section 6.1).
 type headChecker struct {
 	state headState
 	// statusLine is the beginning of the status line.
 	statusLine []byte
+	// isBeforeHTTP11 is true if the status line states a version before HTTP/1.1. Then fieldName is the beginning of the current field name.
+	isBeforeHTTP11 bool
+	fieldName      []byte
 	// endsWithCR is true if the latest byte was a carriage return.
 	endsWithCR bool
 	// usesCRLF is true if the status line ended with CRLF. Then a line feed alone does not end the head.
@@ -44,7 +52,9 @@
 	}
 }
 
-func (h *headChecker) restart() { *h = headChecker{statusLine: h.statusLine[:0]} }
+func (h *headChecker) restart() {
+	*h = headChecker{statusLine: h.statusLine[:0], fieldName: h.fieldName[:0]}
+}
 
 // check checks the next bytes of the connection. Errors: ErrInvalidHead.
 func (h *headChecker) check(data []byte) error {
@@ -75,12 +85,15 @@
 			return false
 		default:
 			h.state = inFieldName
+			h.fieldName = h.fieldName[:0]
+			h.keepFieldName(b)
 		}
 	case inFieldName:
 		if b == ':' {
 			h.state = inFieldValue
-			return true
+			return !bytes.EqualFold(h.fieldName, []byte(fieldTransferEncoding))
 		}
+		h.keepFieldName(b)
 		return isTokenByte(b)
 	case inFieldValue:
 		if b == '\n' {
@@ -99,12 +112,26 @@
 	switch {
 	case b == '\n':
 		h.usesCRLF = h.endsWithCR
+		h.isBeforeHTTP11 = isBeforeHTTP11(h.statusLine)
 		h.state = atLineStart
 	case len(h.statusLine) < maxStatusBytes:
 		h.statusLine = append(h.statusLine, b)
 	}
 }
 
+// keepFieldName appends a byte to the field name of a response before HTTP/1.1. One byte more than the longest name of interest is kept.
+func (h *headChecker) keepFieldName(b byte) {
+	if h.isBeforeHTTP11 && len(h.fieldName) <= len(fieldTransferEncoding) {
+		h.fieldName = append(h.fieldName, b)
+	}
+}
+
+// isBeforeHTTP11 reports whether a status line states a version before HTTP/1.1. net/http rejects versions that are no two digits.
+func isBeforeHTTP11(statusLine []byte) bool {
+	version, ok := bytes.CutPrefix(statusLine, []byte("HTTP/"))
+	return ok && (bytes.HasPrefix(version, []byte("0.")) || bytes.HasPrefix(version, []byte("1.0")))
+}
+
 // endHead continues with the head that follows if the response is an interim one.
 func (h *headChecker) endHead() {
 	if isInterim(h.statusLine) {
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -60,6 +60,12 @@
 		{"invalid interim", []string{strings.Replace(interim, "Link", "Li nk", 1) + valid}, false},
 		{"invalid after interim", []string{interim + invalid}, false},
 		{"folded line", []string{"HTTP/1.1 200 OK\r\nX-Field: v\r\n w\r\n\r\n"}, false},
+		{"chunks before HTTP/1.1", []string{"HTTP/1.0 200 OK\r\nX-Field: v\r\ntransfer-encoding:chunked\r\n\r\n"}, false},
+		{"chunks in HTTP/0.1", []string{valid + body, "HTTP/0.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"}, false},
+		{"chunks in an interim response before HTTP/1.1", []string{"HTTP/1.0 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + valid}, false},
+		{"chunks", []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body, valid}, true},
+		{"chunks after an interim response before HTTP/1.1", []string{"HTTP/1.0 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body}, true},
+		{"other fields before HTTP/1.1", []string{"HTTP/1.0 200 OK\r\nTransfer-Encodings: x\r\nX-Transfer-Encoding: x\r\nTransfer: x\r\nContent-Length: 3\r\n\r\nabc"}, true},
 		{"line feed ends the head", []string{"HTTP/1.1 200 OK\r\nX-Field: v\r\n\n"}, false},
 	} {
 		for _, size := range []int{1, 2, 7, 4096} {
