Reject requests before HTTP/1.1 that may have a body in chunks

What callers saw: nothing on the platform, whose clients use HTTP/1.1. A payment of HTTP/1.0 with a body in chunks ran without its body and got 200.

Evidence: TestChunkedRequestBeforeHTTP11IsRejected on the code before: status 200, and the server got the request with an empty body.

Change: the listener answers 400 to a POST, PUT or PATCH before HTTP/1.1 without a Content-Length, and closes the connection, since what follows would be read as the next request. Both programs use this listener. HTTP/1.0 requires the length for such requests (RFC 1945, section 7.2.2).

Why it works: without a length, a request of such a version either has no body or one that is not read. Requests with a length are served as before.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -81,7 +81,7 @@
 		l.conns.runner = &pipelineRunner{mayRun: o.MayRunConcurrently, handler: o.Handler, log: o.Log}
 	}
 	l.server = &http.Server{
-		Handler: l.trackRequests(o.Handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
+		Handler: l.trackRequests(rejectWithoutLength(o.Handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
 		ErrorLog: telemetry.HTTPErrorLog(o.Log), ConnState: l.conns.connStateChanged,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
