Ask the hosts that ran for long first for missed removals, and each only once

A host that responds with a state that is not older than the listing is asked once now, and twelve such responses are enough. Hosts that have run for as long as removals are remembered come first, so a restarted host usually needs one call. Hosts that failed or were behind come after those that were not called yet, and do not keep them from being called.

--- a/internal/catalog/departures.go
+++ b/internal/catalog/departures.go
@@ -26,54 +26,6 @@
 	heartbeatsUntilRemoval = 3
 )
 
-// period is a period of time. It is empty if it does not end after its start.
-type period struct{ from, to time.Time }
-
-func (p period) isEmpty() bool { return !p.from.Before(p.to) }
-
-// intersection returns the part of a period that is in another one too.
-func (p period) intersection(q period) period {
-	if q.isEmpty() {
-		return period{}
-	}
-	p.from = later(p.from, q.from)
-	if q.to.Before(p.to) {
-		p.to = q.to
-	}
-	return p
-}
-
-// hull returns the shortest period with two periods in it.
-func (p period) hull(q period) period {
-	switch {
-	case p.isEmpty():
-		return q
-	case q.isEmpty():
-		return p
-	}
-	if q.from.Before(p.from) {
-		p.from = q.from
-	}
-	p.to = later(p.to, q.to)
-	return p
-}
-
-// Period is a period of the past, as times before the present. Hosts exchange periods in this form because their clocks differ. It is
-// empty if From is not greater than To.
-type Period struct{ From, To time.Duration }
-
-// IsEmpty reports whether the period has no duration.
-func (p Period) IsEmpty() bool { return p.From <= p.To }
-
-func (p Period) before(now time.Time) period { return period{now.Add(-p.From), now.Add(-p.To)} }
-
-func (p period) ago(now time.Time) Period {
-	if p.isEmpty() {
-		return Period{}
-	}
-	return Period{now.Sub(p.from), now.Sub(p.to)}
-}
-
 // Removal is the latest heartbeat that a host knows of a server that was removed from the store.
 type Removal struct {
 	ID          string
@@ -98,7 +50,7 @@
 // beginListing records that a complete listing is applied next. since is the time up to which the state was confirmed. The listing shows
 // neither the servers that were removed since then nor their latest heartbeats.
 func (s *State) beginListing(since time.Time, at Revision, now time.Time) {
-	missed := period{since.Add(-missedMargin), now}
+	missed := timeRange{since.Add(-missedMargin), now}
 	if s.revision == 0 {
 		missed.from = now.Add(-departedTTL)
 		s.firstListedAt = now
@@ -108,8 +60,8 @@
 }
 
 // missedRemovals returns the period in which removals may have been missed. Removals that would no longer be remembered do not count.
-func (s *State) missedRemovals(now time.Time) period {
-	return s.missed.intersection(period{now.Add(-departedTTL), now})
+func (s *State) missedRemovals(now time.Time) timeRange {
+	return s.missed.intersection(timeRange{now.Add(-departedTTL), now})
 }
 
 // departures returns what this host knows about a period in which another host may have missed removals.
@@ -117,7 +69,7 @@
 	wanted := asked.before(now)
 	missed := s.missedRemovals(now)
 	if discarded := s.departed.discardedUntil; !discarded.IsZero() {
-		missed = missed.hull(period{now.Add(-departedTTL), discarded.Add(1)})
+		missed = missed.hull(timeRange{now.Add(-departedTTL), discarded.Add(1)})
 	}
 	d := Departures{Revision: s.revision, Missed: missed.ago(now)}
 	for _, r := range s.departed.between(wanted.from, wanted.to.Add(removalLag)) {
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -207,8 +207,11 @@
 }
 
 // lookup returns the addresses in the look-up response for a client in the host's failure domain.
-func (h *host) lookup() []string {
-	res, err := http.Get(h.url("lookup_address", "/lookup?Name=shop.example&Region=r&Zone=d"))
+func (h *host) lookup() []string { return h.lookupFrom("r", "d") }
+
+// lookupFrom returns the addresses in the look-up response for a client in a region and failure domain.
+func (h *host) lookupFrom(region, domain string) []string {
+	res, err := http.Get(h.url("lookup_address", "/lookup?Name=shop.example&Region="+region+"&Zone="+domain))
 	if err != nil {
 		return nil
 	}
--- a/internal/gateway/stoppinglookup_test.go
+++ b/internal/gateway/stoppinglookup_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"strings"
@@ -12,18 +11,6 @@
 	"github.com/foxtailtack/foxtailtack/platform"
 )
 
-// lookupFrom returns the addresses in the look-up response for a client of a region.
-func (h *host) lookupFrom(region string) []string {
-	res, err := http.Get(h.url("lookup_address", "/lookup?Name=shop.example&Region="+region+"&Zone="+region+"1"))
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = res.Body.Close() }()
-	var body struct{ Addrs []string }
-	_ = json.NewDecoder(res.Body).Decode(&body)
-	return body.Addrs
-}
-
 // Guards against look-ups that direct callers to other regions while the only host of their home region is restarted: asked at the
 // stopping host itself, and at a host of another region, which sees that the entry was removed.
 func TestRestartOfOnlyHostInHomeRegionKeepsCallersThere(t *testing.T) {
@@ -39,7 +26,9 @@
 	others := []*host{startHostAt(t, kv, platform.Dialect{}, nil, inRegion("other", "q")), startHostAt(t, kv, platform.Dialect{}, nil, inRegion("other-2", "q"))}
 	want := []string{home.process.Address("caller_address").String()}
 	for _, h := range append(others, home) {
-		h.eventually("all hosts", func() bool { return len(h.lookupFrom("q")) == len(others) && slices.Equal(h.lookupFrom("r"), want) })
+		h.eventually("all hosts", func() bool {
+			return len(h.lookupFrom("q", "q1")) == len(others) && slices.Equal(h.lookupFrom("r", "r1"), want)
+		})
 	}
 	home.cancel()
 	for _, h := range others {
@@ -47,13 +36,13 @@
 	}
 	home.eventually("the stop", func() bool { return home.ready() == http.StatusServiceUnavailable })
 	for _, h := range append(others, home) {
-		if got := h.lookupFrom("r"); !slices.Equal(got, want) {
+		if got := h.lookupFrom("r", "r1"); !slices.Equal(got, want) {
 			t.Errorf("during the stop the host that is asked returns %v, want %v", got, want)
 		}
 	}
 	<-home.done
 	for _, h := range others {
-		if got := h.lookupFrom("r"); !slices.Equal(got, want) {
+		if got := h.lookupFrom("r", "r1"); !slices.Equal(got, want) {
 			t.Errorf("after the stop the host that is asked returns %v, want %v", got, want)
 		}
 	}
--- a/internal/relay/departures.go
+++ b/internal/relay/departures.go
@@ -21,12 +21,15 @@
 	departuresTimeout = 2 * time.Second
 	// maxDeparturesBytes limits a response; catalog bounds removals and superseding entries to a part of it.
 	maxDeparturesBytes = 2 << 20
-	// maxDeparturesHosts is the number of hosts that are called in a row.
-	maxDeparturesHosts = 3
-	// minDeparturesBackoff and maxDeparturesBackoff limit the time between two rounds of calls while no host knows what was missed, as
-	// after a start of all hosts at once.
+	// maxDeparturesHosts is the number of hosts that are called in a row, maxDeparturesResponses the number of responses after which a host
+	// stops to ask: after a start of all hosts at once, none of them knows more than the others.
+	maxDeparturesHosts     = 3
+	maxDeparturesResponses = 12
+	// minDeparturesBackoff and maxDeparturesBackoff limit the time between two rounds of calls.
 	minDeparturesBackoff = 500 * time.Millisecond
 	maxDeparturesBackoff = 30 * time.Second
+	// longRunTime is the time after its start from which a host knows of all removals that hosts remember.
+	longRunTime = 20 * time.Minute
 )
 
 // DeparturesArgs requests what a host knows about servers that have left.
@@ -52,49 +55,54 @@
 // RunDepartures asks other hosts for the removals of servers that this host has missed, until ctx is done: at its start and after each
 // complete listing. The store shows only the servers that it has.
 func (s *Source) RunDepartures(ctx context.Context, state DeparturesState) {
-	var listedAt catalog.Revision
-	var asked map[string]bool
-	var next time.Time
-	backoff := minDeparturesBackoff
+	search := &departuresSearch{}
 	for ; ctx.Err() == nil; wait.For(ctx, departuresCheckInterval) {
 		missed, listed := state.MissedRemovals()
-		if listed != listedAt {
-			listedAt, asked, next, backoff = listed, map[string]bool{}, time.Time{}, minDeparturesBackoff
+		if search.responded == nil || listed != search.listedAt {
+			search = &departuresSearch{listedAt: listed, calls: map[string]int{}, responded: map[string]bool{}, backoff: minDeparturesBackoff}
 		}
-		if missed.IsEmpty() || time.Now().Before(next) {
+		if missed.IsEmpty() || len(search.responded) >= maxDeparturesResponses || time.Now().Before(search.next) {
 			continue
 		}
-		s.askDepartures(ctx, state, asked)
-		next = time.Now().Add(backoff/2 + rand.N(backoff/2))
-		backoff = min(2*backoff, maxDeparturesBackoff)
+		s.askDepartures(ctx, state, search)
+		search.next = time.Now().Add(search.backoff/2 + rand.N(search.backoff/2))
+		search.backoff = min(2*search.backoff, maxDeparturesBackoff)
 	}
 }
 
-// askDepartures calls hosts until one of them knows what was missed. Hosts that were not asked yet come first, then those of the own
-// failure domain, which are near.
-func (s *Source) askDepartures(ctx context.Context, state DeparturesState, asked map[string]bool) {
+// departuresSearch is the search for the removals that were missed before one complete listing.
+type departuresSearch struct {
+	listedAt catalog.Revision
+	// calls counts the calls of each host.
+	calls map[string]int
+	// responded holds the hosts that responded with a state that is not older than the listing.
+	responded map[string]bool
+	// next is the time of the next round of calls, backoff the longest time from then to the one after it.
+	next    time.Time
+	backoff time.Duration
+}
+
+// askDepartures calls hosts that have not responded yet, until one of them knows what was missed or maxDeparturesHosts were called. Those
+// that were called less often come first.
+func (s *Source) askDepartures(ctx context.Context, state DeparturesState, search *departuresSearch) {
 	view := s.view()
-	list := s.targets(view)
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	rank := func(t target) int {
-		n := 1 - s.inOwnDomain(view, t)
-		if asked[t.id] {
-			n += 2
-		}
-		return n
-	}
-	slices.SortStableFunc(list, func(a, b target) int { return cmp.Compare(rank(a), rank(b)) })
+	list := slices.DeleteFunc(s.targets(view), func(t target) bool { return search.responded[t.id] })
+	s.sortByKnowledge(view, list)
+	slices.SortStableFunc(list, func(a, b target) int { return cmp.Compare(search.calls[a.id], search.calls[b.id]) })
 	for _, host := range list[:min(maxDeparturesHosts, len(list))] {
 		missed, _ := state.MissedRemovals()
 		if missed.IsEmpty() || ctx.Err() != nil {
 			return
 		}
-		asked[host.id] = true
+		search.calls[host.id]++
 		reply, err := s.callDepartures(ctx, host.address, missed)
 		if err != nil {
 			s.log.Info().Str("host", host.id).Err(err).Msg("departures_not_received")
 			continue
 		}
+		if reply.Revision >= search.listedAt {
+			search.responded[host.id] = true
+		}
 		state.LearnDepartures(*reply)
 		rest, _ := state.MissedRemovals()
 		s.log.Info().Str("host", host.id).Uint64("revision", uint64(reply.Revision)).Int("removed", len(reply.Removed)).Int("superseding", len(reply.Superseding)).
@@ -102,6 +110,22 @@
 	}
 }
 
+// sortByKnowledge sorts hosts by how much they may know of servers that have left: those that have run for long come first, in random order
+// but for those of the own failure domain, which are near; then the others, by their start.
+func (s *Source) sortByKnowledge(view *catalog.View, list []target) {
+	longAgo := catalog.Incarnation(time.Now().Add(-longRunTime).UnixMilli())
+	startOf := func(t target) catalog.Incarnation {
+		if h := view.Hosts[t.id]; h != nil {
+			return max(h.Incarnation, longAgo)
+		}
+		return longAgo
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b target) int {
+		return cmp.Or(cmp.Compare(startOf(a), startOf(b)), cmp.Compare(s.inOwnDomain(view, b), s.inOwnDomain(view, a)))
+	})
+}
+
 // callDepartures makes one call on a connection of its own, so that a large response does not delay the changes.
 func (s *Source) callDepartures(ctx context.Context, address netip.AddrPort, missed catalog.Period) (*catalog.Departures, error) {
 	ctx, cancel := context.WithTimeout(ctx, departuresTimeout)
--- a/internal/relay/departures_test.go
+++ b/internal/relay/departures_test.go
@@ -72,18 +72,55 @@
 	}
 }
 
-// Guards against hosts that call each other without end after a start of all hosts at once, when none knows the removals.
-func TestSearchForRemovalsBacksOffWhenNoHostKnows(t *testing.T) {
-	u := &upstream{departures: catalog.Departures{Missed: catalog.Period{From: time.Minute}}}
-	view := &catalog.View{}
-	state := newSearchingState()
-	s := NewSource(&fakeStore{}, &catalog.Host{ID: "me"}, []netip.AddrPort{serve(t, u)}, changeBound, func() *catalog.View { return view }, ignoreConfiguration, zerolog.Nop())
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	s.RunDepartures(ctx, state)
-	// The pauses are at least 0.25, 0.5, 1 and 2 s.
-	if n := len(state.learned); n < 1 || n > 4 {
-		t.Errorf("the seed was called %d times in 3 s, want 1 to 4", n)
+// Guards against hosts that call each other without end after a start of all hosts at once, when none knows the removals, and against giving
+// up on a host whose state is older than the listing: it may know more soon.
+func TestHostsAreAskedAgainOnlyWhileTheyAreBehind(t *testing.T) {
+	for name, c := range map[string]struct {
+		revision catalog.Revision
+		min, max int
+	}{
+		"new too": {7, 1, 1},
+		// The pauses are at least 0.25, 0.5, 1 and 2 s.
+		"behind": {6, 2, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := &upstream{departures: catalog.Departures{Revision: c.revision, Missed: catalog.Period{From: time.Minute}}}
+			view := &catalog.View{}
+			state := newSearchingState()
+			s := NewSource(&fakeStore{}, &catalog.Host{ID: "me"}, []netip.AddrPort{serve(t, u)}, changeBound, func() *catalog.View { return view }, ignoreConfiguration, zerolog.Nop())
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			s.RunDepartures(ctx, state)
+			if n := len(state.learned); n < c.min || n > c.max {
+				t.Errorf("the seed was called %d times in 3 s, want %d to %d", n, c.min, c.max)
+			}
+		})
+	}
+}
+
+// Guards against a restarted host that asks hosts which were started with it while others know more.
+func TestHostsThatRanForLongAreAskedFirst(t *testing.T) {
+	now := time.Now()
+	started := func(id, domain string, ago time.Duration) *catalog.Host {
+		return &catalog.Host{ID: id, FailureDomain: domain, Incarnation: catalog.Incarnation(now.Add(-ago).UnixMilli())}
+	}
+	self := started("self", "d", 0)
+	hosts := []*catalog.Host{started("far", "e", 3*time.Hour), started("near", "d", time.Hour), started("new", "d", time.Second), started("earlier", "e", time.Minute)}
+	view := &catalog.View{Hosts: map[string]*catalog.Host{}}
+	var list []target
+	for _, h := range hosts {
+		view.Hosts[h.ID] = h
+		list = append(list, target{id: h.ID})
+	}
+	s := NewSource(&fakeStore{}, self, nil, changeBound, func() *catalog.View { return view }, ignoreConfiguration, zerolog.Nop())
+	for range 10 {
+		s.sortByKnowledge(view, list)
+		for i, want := range []string{"near", "far", "earlier", "new"} {
+			if list[i].id != want {
+				t.Fatalf("host %d is %s, want %s", i, list[i].id, want)
+			}
+		}
 	}
 }
 
