Count removals as missed since the last changes arrived, not since the last call

A listing after a pause of the process counted as nearly complete if another call to the store had got a response before it: that call confirms the store, not the state. Removals and last heartbeats during the pause were then not asked for (TestListingAfterPauseMissesTheTimeSinceTheLastChanges). The period now begins when a listing or watch last returned.

Look-ups compute the distance of each host once and need no map, and a check for expired entries goes through the servers once.

--- a/internal/catalog/departures.go
+++ b/internal/catalog/departures.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// missedMargin is added before the time up to which a state was confirmed. A watch that delivers nothing is detected within a few
-	// seconds, while other calls to the store succeed.
+	// missedMargin is added before the time up to which all changes were received. Hosts see a change at different times, up to seconds
+	// apart.
 	missedMargin = 5 * time.Second
 	// removalLag is added after a period in which removals were missed. A host records the removal of a server up to a grace period after
 	// the store made it.
@@ -47,7 +47,7 @@
 	Missed Period
 }
 
-// beginListing records that a complete listing is applied next. since is the time up to which the state was confirmed. The listing shows
+// beginListing records that a complete listing is applied next. since is the time up to which all changes were received. The listing shows
 // neither the servers that were removed since then nor their latest heartbeats.
 func (s *State) beginListing(since time.Time, at Revision, now time.Time) {
 	missed := timeRange{since.Add(-missedMargin), now}
@@ -117,7 +117,11 @@
 		s.missed = s.missed.intersection(d.Missed.before(now))
 	}
 	if s.missedRemovals(now).isEmpty() {
-		s.releaseServers(func(*ServerEntry) bool { return true })
+		for _, id := range slices.Sorted(maps.Keys(s.servers)) {
+			if e := s.servers[id]; e.isHeld() {
+				s.releaseServer(e)
+			}
+		}
 	}
 	return s.events
 }
@@ -137,22 +141,20 @@
 		!s.missedRemovals(now).isEmpty() && !now.Before(s.lapseEnd(lapseGrace))
 }
 
-// releaseServers ends the hold of servers.
-func (s *State) releaseServers(mayRelease func(*ServerEntry) bool) {
-	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
-		if e := s.servers[id]; !e.heldUntil.IsZero() && mayRelease(e) {
-			entry := *e
-			entry.heldUntil = time.Time{}
-			s.servers[id] = &entry
-			s.addEvent("server_released", id, describeServer(&e.Server), e.Revision)
-		}
-	}
+// releaseServer ends the hold of a server.
+func (s *State) releaseServer(e *ServerEntry) {
+	entry := *e
+	entry.heldUntil = time.Time{}
+	s.servers[e.ID] = &entry
+	s.addEvent("server_released", e.ID, describeServer(&e.Server), e.Revision)
 }
 
 // usable returns the servers of a service that are not held, or all of them if each is held.
 func usable(servers []*ServerEntry) []*ServerEntry {
-	isHeld := func(e *ServerEntry) bool { return !e.heldUntil.IsZero() }
-	if free := slices.DeleteFunc(slices.Clone(servers), isHeld); len(free) > 0 {
+	if !slices.ContainsFunc(servers, (*ServerEntry).isHeld) {
+		return servers
+	}
+	if free := slices.DeleteFunc(slices.Clone(servers), (*ServerEntry).isHeld); len(free) > 0 {
 		return free
 	}
 	return servers
--- a/internal/catalog/departures_test.go
+++ b/internal/catalog/departures_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -249,3 +250,24 @@
 		t.Errorf("the host that learns holds %d bytes and still misses %v", other.departed.bytes, other.missedRemovals(now))
 	}
 }
+
+// Guards against a listing after a pause of the process that counts as complete, because another call to the store has confirmed since that
+// the store responds: removals during the pause were not received.
+func TestListingAfterPauseMissesTheTimeSinceTheLastChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFollower(t, &fakeStore{version: 1, at: 1, onWatch: watchWithoutChanges})
+		synctest.Wait()
+		f.LearnDepartures(Departures{Revision: 1})
+		if missed, _ := f.MissedRemovals(); !missed.IsEmpty() {
+			t.Fatalf("%v is missed although another host misses nothing", missed)
+		}
+		const pause = 40 * time.Second
+		time.Sleep(pause)
+		f.ReportResponse(0)
+		f.Relist()
+		time.Sleep(5 * time.Second)
+		if missed, _ := f.MissedRemovals(); missed.From-missed.To < pause {
+			t.Errorf("the missed period is %v, want the %v of the pause in it", missed, pause)
+		}
+	})
+}
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -46,7 +46,9 @@
 	// confirmedAt is the time up to which the store has confirmed the state: the time of its latest response, or, for a response
 	// of another host, the time at which that host received its latest response.
 	confirmedAt time.Time
-	history     history
+	// completeUntil is the time up to which all changes were received, by the latest listing or watch that returned.
+	completeUntil time.Time
+	history       history
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 	// cancelCall cancels the listing, backoff or watch in progress; it is nil before the first. watching is true during a watch.
@@ -110,13 +112,13 @@
 		f.recordFailure(ctx, "list", err)
 		return sleepBackoff(callCtx, backoff)
 	}
-	confirmedAt, _ := f.ConfirmedAt()
+	completeUntil := f.completeAt()
 	f.recordResponse(batch.Age)
 	f.update(func(now time.Time) ([]Event, []Change) {
 		if batch.Since > 0 {
 			return f.state.Apply(batch.Changes, batch.Revision, now), batch.Changes
 		}
-		f.state.beginListing(confirmedAt, batch.Revision, now)
+		f.state.beginListing(completeUntil, batch.Revision, now)
 		return f.state.Resync(batch.Changes, batch.Revision, now)
 	})
 	f.watch(callCtx, batch.Revision)
@@ -219,12 +221,19 @@
 	return f.state.revision
 }
 
+func (f *Follower) completeAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.completeUntil
+}
+
 // recordResponse records a response of the store, or of another host whose latest response of the store has the given age.
 func (f *Follower) recordResponse(age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	f.confirmedAt = later(f.confirmedAt, now.Add(-age))
+	f.completeUntil = later(f.completeUntil, now.Add(-age))
 	if !f.unavailableSince.IsZero() {
 		f.log.Info().Dur("away_ms", now.Sub(f.unavailableSince)).Msg("store_regained")
 		if now.Sub(f.unavailableSince) >= minLapseOutage {
--- a/internal/catalog/servers.go
+++ b/internal/catalog/servers.go
@@ -33,7 +33,7 @@
 	}
 	s.servers[server.ID] = entry
 	switch {
-	case known == nil && !entry.heldUntil.IsZero():
+	case known == nil && entry.isHeld():
 		s.addEvent("server_held", server.ID, describeServer(server), revision)
 	case known == nil || known.Incarnation != server.Incarnation:
 		s.addEvent("server_added", server.ID, describeServer(server), revision)
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -32,6 +32,9 @@
 	supersedes bool
 }
 
+// isHeld reports whether the server may have left before this host began to follow the store.
+func (s *ServerEntry) isHeld() bool { return !s.heldUntil.IsZero() }
+
 // Lapsed reports whether the entry is missing from the store after an outage or a restoration and kept only for a grace period.
 func (s *ServerEntry) Lapsed() bool { return !s.lapseEnd.IsZero() }
 
@@ -232,12 +235,14 @@
 func (s *State) Expire(now time.Time) []Event {
 	s.events = nil
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
-		if e := s.servers[id]; e.Lapsed() && !now.Before(e.lapseEnd) {
+		switch e := s.servers[id]; {
+		case e.Lapsed() && !now.Before(e.lapseEnd):
 			s.dropServer(e, now)
 			s.addEvent("server_gone", id, "the entry lapsed and was not written again", e.Revision)
+		case e.isHeld() && !now.Before(e.heldUntil):
+			s.releaseServer(e)
 		}
 	}
-	s.releaseServers(func(e *ServerEntry) bool { return !now.Before(e.heldUntil) })
 	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
 		if e := s.hosts[id]; !e.lapseEnd.IsZero() && !now.Before(e.lapseEnd) {
 			delete(s.hosts, id)
--- a/internal/gateway/lookup.go
+++ b/internal/gateway/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -46,21 +47,33 @@
 			return otherRegion + homes.excluding(h.Region)
 		}
 	}
-	byDistance := map[int][]*catalog.Host{}
+	var near [otherRegion + 1][]*catalog.Host
+	// far holds the nearest of the hosts beyond otherRegion.
+	var far []*catalog.Host
+	farDistance := math.MaxInt
 	for _, h := range hosts {
-		byDistance[distance(h)] = append(byDistance[distance(h)], h)
+		switch d := distance(h); {
+		case d <= otherRegion:
+			near[d] = append(near[d], h)
+		case d < farDistance:
+			far, farDistance = append(far[:0], h), d
+		case d == farDistance:
+			far = append(far, h)
+		}
 	}
 	var chosen []*catalog.Host
-	for near := sameDomain; near <= otherRegion && len(chosen) < minLookupHosts; near++ {
-		chosen = append(chosen, byDistance[near]...)
+	for _, group := range near {
+		if len(chosen) < minLookupHosts {
+			chosen = append(chosen, group...)
+		}
 	}
 	for _, reserve := range reserves {
 		if len(chosen) == 0 {
 			chosen = slices.DeleteFunc(slices.Clone(reserve), func(h *catalog.Host) bool { return distance(h) > otherRegion })
 		}
 	}
-	if len(chosen) == 0 && len(byDistance) > 0 {
-		chosen = byDistance[slices.Min(slices.Collect(maps.Keys(byDistance)))]
+	if len(chosen) == 0 {
+		chosen = far
 	}
 	slices.SortFunc(chosen, func(a, b *catalog.Host) int { return a.CallerAddress.Compare(b.CallerAddress) })
 	addresses := make([]netip.AddrPort, 0, min(len(chosen), maxLookupHosts))
