--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -209,18 +208,6 @@
 // lookup returns the addresses in the look-up response for a client in the host's failure domain.
 func (h *host) lookup() []string { return h.lookupFrom("r", "d") }
 
-// lookupFrom returns the addresses in the look-up response for a client in a region and failure domain.
-func (h *host) lookupFrom(region, domain string) []string {
-	res, err := http.Get(h.url("lookup_address", "/lookup?Name=shop.example&Region="+region+"&Zone="+domain))
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = res.Body.Close() }()
-	var body struct{ Addrs []string }
-	_ = json.NewDecoder(res.Body).Decode(&body)
-	return body.Addrs
-}
-
 // send sends a client's request and returns the response and its whole body.
 func (h *host) send(method, path, id, body string) (*http.Response, string) {
 	h.t.Helper()
--- a/internal/gateway/stoppinglookup_test.go
+++ b/internal/gateway/stoppinglookup_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,6 +12,18 @@
 	"github.com/foxtailtack/foxtailtack/platform"
 )
 
+// lookupFrom returns the addresses in the look-up response for a client in a region and failure domain.
+func (h *host) lookupFrom(region, domain string) []string {
+	res, err := http.Get(h.url("lookup_address", "/lookup?Name=shop.example&Region="+region+"&Zone="+domain))
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	var body struct{ Addrs []string }
+	_ = json.NewDecoder(res.Body).Decode(&body)
+	return body.Addrs
+}
+
 // Guards against look-ups that direct callers to other regions while the only host of their home region is restarted: asked at the
 // stopping host itself, and at a host of another region, which sees that the entry was removed.
 func TestRestartOfOnlyHostInHomeRegionKeepsCallersThere(t *testing.T) {
