--- a/internal/backend/invalidhead_test.go
+++ b/internal/backend/invalidhead_test.go
@@ -111,6 +111,7 @@
 func requestText(t *testing.T, protocol backend.Protocol, response, method, id string, reused bool) backend.Result {
 	t.Helper()
 	client := backend.NewClientFor(protocol)
+	client.SetConnectTimeout(testTimeout)
 	defer client.Close()
 	service := &policy.Service{Name: "s", MaxResponseBytes: 1 << 20, Shed: policy.Shed{Status: http.StatusServiceUnavailable, Header: "X-Not-Run"}}
 	target := &policy.BackendServer{ID: "b", Service: "s", Address: listenAndServe(t, serveText(response)), Slots: 4, MaxConnections: 16}
--- a/internal/backend/resetresponse_test.go
+++ b/internal/backend/resetresponse_test.go
@@ -80,6 +80,7 @@
 	protocol := backend.OwnProtocol()
 	protocol.EchoRequired, protocol.AllowUnframed, protocol.MaxReuseIdle = true, true, time.Minute
 	client := backend.NewClientFor(protocol)
+	client.SetConnectTimeout(testTimeout)
 	defer client.Close()
 	service := &policy.Service{Name: "s", MaxResponseBytes: 1 << 20}
 	target := &policy.BackendServer{ID: "b", Service: "s", Address: listenAndServe(t, s.serve), Slots: 4, MaxConnections: 16}
@@ -118,7 +119,7 @@
 								s := earlyServer{body: body, readBytes: readBytes, delay: delay, end: resetConn}
 								if res := upload(t, s, req, 8<<20, second); res.Outcome != backend.Unknown {
 									complete++
-									t.Logf("%d bytes sent, %d read, reset after %v: %v with %d bytes", len(body), readBytes, delay, res.Outcome, len(res.Body))
+									t.Logf("%d bytes sent, %d read, reset after %v: %v with %d bytes, %v", len(body), readBytes, delay, res.Outcome, len(res.Body), res.Failure)
 								}
 							}
 						}
