Wait only briefly for further hosts once one has responded while the store is away

A starting host takes the latest state of up to three hosts while the store is away. If two of them have lost power, each call lasted until its timeout of 2 s, while the host already had a state to serve with. Further calls have 0.5 s now, as those to readers of other failure domains (TestUnresponsiveHostsDelayStartWithoutStoreOnlyBriefly: 2 s before).

--- a/internal/relay/departures_test.go
+++ b/internal/relay/departures_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/netip"
 	"strings"
 	"sync"
@@ -159,3 +160,30 @@
 		}
 	}
 }
+
+// Guards against a start while the store is away that takes seconds longer because other hosts have lost power: each call to one of them would
+// last until its timeout.
+func TestUnresponsiveHostsDelayStartWithoutStoreOnlyBriefly(t *testing.T) {
+	responsive := serve(t, &upstream{batch: catalog.Batch{Changes: []catalog.Change{configurationChange()}, Revision: 9, Age: time.Minute}})
+	seeds := []netip.AddrPort{responsive, netip.MustParseAddrPort("127.0.0.1:2"), netip.MustParseAddrPort("127.0.0.1:3")}
+	view := &catalog.View{}
+	for range 6 {
+		s := NewSource(&fakeStore{err: errors.New("refused")}, &catalog.Host{ID: "me"}, seeds, changeBound, func() *catalog.View { return view }, ignoreConfiguration, zerolog.Nop())
+		var afterResponse time.Duration
+		s.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if address == responsive.String() {
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+			if deadline, ok := ctx.Deadline(); ok && s.lastFollowed() != "" {
+				afterResponse += time.Until(deadline)
+			}
+			return nil, errors.New("no response")
+		}
+		if batch, err := s.List(t.Context()); err != nil || batch.Revision != 9 {
+			t.Fatalf("got revision %d, %v, want 9", batch.Revision, err)
+		}
+		if afterResponse > 2*otherReaderTimeout {
+			t.Errorf("after the response, other hosts are waited for up to %v, want at most %v", afterResponse, 2*otherReaderTimeout)
+		}
+	}
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -288,6 +288,8 @@
 			return batch, nil
 		case view.Configuration == nil && len(batch.Changes) > 0 && batch.Revision >= latest.Revision:
 			latest, latestHost = batch, target.id
+			// A host that does not respond must not delay the start much longer.
+			timeout = min(timeout, otherReaderTimeout)
 		}
 	}
 	if latestHost != "" {
